--- /dev/null
+++ b/run.py
@@ -0,0 +1,12 @@
+"""Start poppyhold from a checkout: put src/ and target/deps on the path, then call the program."""
+
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent
+sys.path[:0] = [str(ROOT / "src"), str(ROOT / "target" / "deps")]
+
+from poppyhold.cli import main  # noqa: E402  (the path must be set first)
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/poppyhold/admission.py
@@ -0,0 +1,306 @@
+"""Admission: OASiS on the ordinary path. Every start of a task goes through here."""
+
+from __future__ import annotations
+
+import math
+
+from poppyhold.attempts import Attempts
+from poppyhold.context import Context
+from poppyhold.fleet import NOTHING, Attempt, Job, Machine, Room, plus
+from poppyhold.ledger import Ledger
+from poppyhold.placement import Choice, Placement, Quotas
+from poppyhold.planner import Plan, Planner
+from poppyhold.pricing import Pricing
+from poppyhold.store import ACTIVE as ACTIVE_KEYS
+from poppyhold.store import PLAN, Data, put
+
+
+class Estimates:
+    """How far owners' estimates are off, by class: a moving mean of the ratio's logarithm."""
+
+    def __init__(self) -> None:
+        self._bias: dict[str, tuple[float, int]] = {}
+
+    def note(self, job: Job, ran_s: float) -> None:
+        """A task of the job ran this long from its start to its end."""
+        if job.spec.guessS <= 0 or ran_s <= 0:
+            return
+        mean, count = self._bias.get(job.spec.lot, (0.0, 0))
+        ratio = math.log(ran_s / job.spec.guessS)
+        step = 1.0 / min(count + 1, 20)
+        self._bias[job.spec.lot] = (mean + step * (ratio - mean), count + 1)
+
+    def seconds(self, job: Job) -> float:
+        """The estimate to plan with."""
+        mean, count = self._bias.get(job.spec.lot, (0.0, 0))
+        trust = count / (count + 4.0)
+        return max(0.1, job.spec.guessS * math.exp(mean * trust))
+
+
+class Admission:
+    """Plans jobs on priced room, and starts what plans or spare room allow."""
+
+    def __init__(self, ctx: Context, attempts: Attempts, quotas: Quotas) -> None:
+        self._ctx, self._attempts, self._quotas = ctx, attempts, quotas
+        design = ctx.options.design
+        self.ledger = Ledger(design.horizon_slots)
+        self.pricing = Pricing(design)
+        self.planner = Planner(self.pricing, self.ledger, ctx.times.slot_s, design.work_units)
+        self.placement = Placement(quotas, lambda: ctx.times.lease_s)
+        self.estimates = Estimates()
+        self.ledger.first = self._slot()
+        self._released = True
+
+    def _slot(self) -> int:
+        return int(self._ctx.wall() / self._ctx.times.slot_s)
+
+    # -- the ledger follows the fleet ----------------------------------------------------------------
+
+    def machine_up(self, machine: Machine) -> None:
+        """A machine can be planned on."""
+        if machine.name not in self.ledger.rows:
+            self.ledger.add_machine(
+                machine.name, machine.capacity, machine.zone, machine.build.name, machine.spot
+            )
+            self._released = True
+        for attempt in machine.attempts.values():
+            if not attempt.booked:
+                self._book(attempt, 1.0)
+
+    def machine_out(self, machine: Machine) -> None:
+        """A machine can't be planned on any more."""
+        if machine.name not in self.ledger.rows:
+            return
+        self.ledger.drop_machine(machine.name)
+        for attempt in machine.attempts.values():
+            attempt.booked = False
+        for job in self._ctx.fleet.jobs.values():
+            for machines in job.booked.values():
+                machines.pop(machine.name, None)
+
+    def _book(self, attempt: Attempt, times: float) -> None:
+        job = attempt.job
+        if attempt.booked == (times > 0) or attempt.machine.name not in self.ledger.rows:
+            return
+        attempt.booked = times > 0
+        if times > 0:
+            estimate = self.estimates.seconds(job)
+            attempt.booked_until = self.ledger.first + self.planner.span(estimate) - 1
+        last = None if job.service else attempt.booked_until
+        self.ledger.book(attempt.machine.name, job.need, self.ledger.first, last, times)
+
+    def over(self, attempt: Attempt) -> None:
+        """An attempt is over: what it booked is released."""
+        self._book(attempt, -1.0)
+        self._released = True
+
+    def forget(self, job: Job) -> None:
+        """A job is over: its plan's bookings are released."""
+        for slot, machines in job.booked.items():
+            for name, number in machines.items():
+                self._book_plan(job, name, slot, -number)
+        job.booked = {}
+        self._released = True
+
+    def _book_plan(self, job: Job, name: str, slot: int, number: int) -> None:
+        if job.service:
+            self.ledger.book(name, job.need, slot, None, number)
+        else:
+            span = self.planner.span(self._planned_estimate(job))
+            self.ledger.book(name, job.need, slot, slot + span - 1, number)
+
+    def _planned_estimate(self, job: Job) -> float:
+        # What was booked must be released alike, though the bias that is learned moves on.
+        if job.planned_s <= 0:
+            job.planned_s = self.estimates.seconds(job)
+        return job.planned_s
+
+    def roll(self) -> None:
+        """Move to a new slot: starts that were not made and tasks that overrun carry over to it."""
+        slot = self._slot()
+        if slot <= self.ledger.first:
+            return
+        late: list[tuple[Job, str, int]] = []
+        for job in self._ctx.fleet.jobs.values():
+            for old in [s for s in job.booked if s < slot]:
+                for name, number in job.booked.pop(old).items():
+                    self._book_plan(job, name, old, -number)
+                    late.append((job, name, number))
+        self.ledger.roll(slot)
+        for job, name, number in late:
+            here = job.booked.setdefault(slot, {})
+            here[name] = here.get(name, 0) + number
+            self._book_plan(job, name, slot, number)
+        for machine in self._ctx.fleet.machines.values():
+            for attempt in machine.attempts.values():
+                if attempt.booked and not attempt.job.service and attempt.booked_until < slot:
+                    # Objection in DESIGN: without this, a task that outruns its estimate makes
+                    # its room look free, and cheap.
+                    attempt.booked_until = slot
+                    self.ledger.book(machine.name, attempt.job.need, slot, slot, 1.0)
+        self._released = True
+        self._ctx.dirty = True
+
+    # -- admission -----------------------------------------------------------------------------------
+
+    def arrive(self, job: Job) -> None:
+        """A new job: admit it if its value beats the priced room; else it waits."""
+        self._try_admit(job)
+        self._write(job)
+
+    def _try_admit(self, job: Job) -> bool:
+        tasks = job.pending
+        if tasks <= 0:
+            return False
+        estimate = self.estimates.seconds(job)
+        plan = self.planner.plan(job, tasks, estimate, self._ctx.clock())
+        if plan is None or plan.payoff <= 0:
+            return False
+        job.planned_s = estimate
+        job.admitted = True
+        job.plan = plan.zones(self.ledger)
+        self._book_starts(job, plan)
+        return True
+
+    def _book_starts(self, job: Job, plan: Plan) -> None:
+        for slot, machines in plan.starts.items():
+            job.booked[slot] = dict(machines)
+            for name, number in machines.items():
+                self._book_plan(job, name, slot, number)
+
+    def _write(self, job: Job) -> None:
+        """Make durable that tasks of the job may start from now on, as counts per zone and slot."""
+        if job.plan_asked:
+            return
+        job.plan_asked = True
+        data: Data = {"s": {str(slot): zones for slot, zones in job.plan.items()}}
+
+        def durable(done: bool) -> None:
+            job.plan_asked = False
+            if done:
+                job.plan_durable = True
+                self._ctx.dirty = True
+
+        conditions = {ACTIVE_KEYS + job.id: job.stamp}
+        self._ctx.edges.commit(conditions, [put(PLAN + job.id, data)], durable, first=True)
+
+    def load(self, job: Job, data: Data) -> None:
+        """Take a plan that an earlier leader made durable."""
+        job.fresh = False
+        job.plan_durable = True
+        job.plan = {int(slot): dict(zones) for slot, zones in data["s"].items()}
+        job.admitted = bool(job.plan)
+
+    def _cap(self, job: Job) -> int:
+        """How many more tasks the plan lets start by now; a plan never stops what runs."""
+        planned = sum(sum(zones.values()) for slot, zones in job.plan.items() if slot <= self.ledger.first)
+        return planned - job.done - len(job.active)
+
+    def _reconsider(self, waiting: list[Job]) -> None:
+        """Room was released: waiting jobs may beat its price now, the most valuable first."""
+        if not self._released:
+            return
+        self._released = False
+        for job in waiting[: self._ctx.options.design.work_units]:
+            if not job.booked and self._try_admit(job):
+                self._write(job)
+
+    # -- starts --------------------------------------------------------------------------------------
+
+    def dispatch(self, all_heard: bool) -> None:
+        """Start what may start now."""
+        ctx = self._ctx
+        now = ctx.clock()
+        jobs = [
+            job
+            for job in ctx.fleet.jobs.values()
+            if job.pending > 0 and not job.over and not job.finishing and job.retry_at <= now
+        ]
+        # An older job's tasks may run on a machine that has not been heard yet.
+        ready = [job for job in jobs if job.plan_durable and (job.fresh or all_heard)]
+        ready.sort(key=lambda job: (job.rank, not job.guaranteed, job.at, job.id))
+        self._reconsider([job for job in ready if not job.admitted])
+        machines = [
+            machine for machine in ctx.fleet.machines.values() if machine.usable(now, ctx.times.silent_s)
+        ]
+        if not machines:
+            return
+        extra = self._unknown_use()
+        for job in ready:
+            if job.admitted:
+                cap = self._cap(job)
+                if cap > 0:
+                    self._start_some(job, machines, cap, None, extra)
+        reserved = self._reserved()
+        for job in ready:
+            if job.pending > 0:
+                self._start_some(job, machines, job.pending, reserved, extra)
+
+    def _unknown_use(self) -> Room:
+        """Room that may be in use on machines whose tasks we can't know: it counts for every team."""
+        total = NOTHING
+        for machine in self._ctx.fleet.machines.values():
+            if machine.name in self._attempts.unheard or machine.strangers:
+                total = plus(total, machine.capacity)
+        return total
+
+    def _reserved(self) -> dict[str, Room]:
+        """Room of the current slot that admitted plans book and have not used yet."""
+        reserved: dict[str, Room] = {}
+        for job in self._ctx.fleet.jobs.values():
+            if job.over:
+                continue
+            for name, number in job.booked.get(self.ledger.first, {}).items():
+                reserved[name] = plus(reserved.get(name, NOTHING), job.need, number)
+        return reserved
+
+    def _start_some(
+        self, job: Job, machines: list[Machine], most: int, reserved: dict[str, Room] | None, extra: Room
+    ) -> None:
+        ctx = self._ctx
+        used = ctx.fleet.used
+        while most > 0:
+            index = job.next_pending()
+            if index is None:
+                return
+            mine = used.get(job.spec.crew, [0.0, 0.0])
+            if not self._quotas.allows(job.spec.crew, (mine[0] + extra[0], mine[1] + extra[1]), job.need):
+                return
+            own = reserved
+            if reserved is not None and job.booked.get(self.ledger.first):
+                own = self._without(reserved, job)
+            choice = self.placement.best(job, machines, own)
+            if choice is None:
+                choice = self.placement.preempt(job, machines, used)
+            if choice is None:
+                return
+            most -= 1
+            self._start(job, index, choice)
+
+    def _without(self, reserved: dict[str, Room], job: Job) -> dict[str, Room]:
+        own = dict(reserved)
+        for name, number in job.booked.get(self.ledger.first, {}).items():
+            if name in own:
+                own[name] = plus(own[name], job.need, -number)
+        return own
+
+    def _start(self, job: Job, index: int, choice: Choice) -> None:
+        attempt = self._attempts.start(job, index, choice.machine, choice.victims)
+        self._use_booking(job, choice.machine.name)
+        self._book(attempt, 1.0)
+
+    def _use_booking(self, job: Job, machine: str) -> None:
+        """A start takes one of the job's booked rooms: on its machine if there is one, else the earliest."""
+        for slot in sorted(job.booked):
+            machines = job.booked[slot]
+            if not machines:
+                del job.booked[slot]
+                continue
+            name = machine if machine in machines else next(iter(machines))
+            self._book_plan(job, name, slot, -1)
+            machines[name] -= 1
+            if not machines[name]:
+                del machines[name]
+            if not machines:
+                del job.booked[slot]
+            return
--- /dev/null
+++ b/src/poppyhold/attempts.py
@@ -0,0 +1,377 @@
+"""What runs where: starts, stops, and the proofs that an attempt is over."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from poppyhold.context import REFUSED, UNSENT, UNSURE, Context
+from poppyhold.fleet import DONE, Attempt, Job, Machine
+from poppyhold.messages import Chore, Report, split_task
+from poppyhold.store import BATON, MACHINE, put
+
+Order = dict[str, Any]
+
+
+class Attempts:
+    """Keeps the picture of every machine true to its newest report, and nothing older."""
+
+    def __init__(
+        self,
+        ctx: Context,
+        on_done: Callable[[Job, int], None],
+        on_over: Callable[[Attempt], None],
+        on_ran: Callable[[Attempt, float], None],
+    ) -> None:
+        self._ctx = ctx
+        self._on_done, self._on_over, self._on_ran = on_done, on_over, on_ran
+        # Machines that may hold tasks of terms before ours and have not been heard in it.
+        self.unheard: set[str] = set()
+        self._raising = False
+        self.began_at = ctx.clock()
+
+    # -- reports ---------------------------------------------------------------------------------
+
+    def hello(self, report: Report) -> Order | None:
+        """Answer a worker's report; None if it can't be answered."""
+        ctx = self._ctx
+        now = ctx.clock()
+        if report.baton > ctx.baton:
+            ctx.edges.deposed(report.baton)
+            return None
+        machine = ctx.fleet.machines.get(report.box)
+        if machine is None:
+            machine = self._meet(report, now)
+            if machine is None:
+                return None
+        machine.endpoint = report.endpoint
+        machine.last_answer = now
+        if not machine.up:
+            machine.up = True
+            machine.idle_since = now
+            ctx.dirty = True
+        self._record(machine)
+        orders: list[Order] = []
+        # A report from before the worker saw our baton may be a copy of any age, and so may one
+        # whose tally is not above the last: it gets an answer, but proves nothing.
+        if report.baton < ctx.term_baton:
+            self.probe(machine, now)
+        elif (report.shift, report.tally) > (machine.shift, machine.tally):
+            self._take(machine, report, now, answered=True)
+            orders = self._orders(machine, report, now)
+        return {"baton": ctx.baton, "orders": orders}
+
+    def _meet(self, report: Report, now: float) -> Machine | None:
+        """A machine that we did not know: a late hire, or one that was there before us."""
+        ctx = self._ctx
+        build = ctx.builds.get(report.build)
+        if build is None or report.box in ctx.dead:
+            return None
+        machine = Machine(report.box, build, report.paddock, report.loaners, since=now)
+        ctx.fleet.machines[report.box] = machine
+        return machine
+
+    def _record(self, machine: Machine) -> None:
+        if machine.recorded or machine.record_asked or machine.deleting:
+            return
+        machine.record_asked = True
+
+        def durable(done: bool) -> None:
+            machine.recorded = done
+            machine.record_asked = done
+            self._ctx.dirty = True
+
+        data = {
+            "endpoint": machine.endpoint,
+            "build": msgspec.to_builtins(machine.build),
+            "paddock": machine.zone,
+            "loaners": machine.spot,
+        }
+        self._ctx.edges.commit({}, [put(MACHINE + machine.name, data)], durable)
+
+    def _take(self, machine: Machine, report: Report, now: float, answered: bool) -> None:
+        """Take a report that is newer than all before it as the truth about its machine."""
+        ctx = self._ctx
+        if report.shift > machine.shift:
+            # A later session began with nothing: whatever an earlier one held is over.
+            for attempt in list(machine.attempts.values()):
+                if attempt.shift < report.shift:
+                    self._over(attempt, now)
+        machine.shift, machine.tally = report.shift, report.tally
+        machine.last_report = now
+        machine.strangers = set()
+        if not machine.heard:
+            machine.heard = True
+            ctx.dirty = True
+        if report.recallS is not None and machine.recall_at is None:
+            machine.recall_at = now + report.recallS
+            machine.recalled_at = now
+            ctx.dirty = True
+        present: set[str] = set()
+        for chore in report.chores:
+            if chore.status == "ended":
+                self._ended(machine, chore, now)
+            else:
+                present.add(chore.chore)
+                self._present(machine, chore, now)
+        for attempt in list(machine.attempts.values()):
+            if attempt.name not in present and self._absence_proves(attempt, report, answered):
+                self._over(attempt, now)
+        self.unheard.discard(machine.name)
+
+    @staticmethod
+    def _absence_proves(attempt: Attempt, report: Report, answered: bool) -> bool:
+        """Whether a newer report without the attempt shows that it is not there and won't be."""
+        if attempt.status != "sent":
+            return True
+        if attempt.in_flight:
+            return False
+        if attempt.fence is not None:
+            # The start may be held back in the network: it is void once the worker has a higher baton.
+            return report.baton >= attempt.fence
+        if attempt.via == "reply":
+            # The next report is sent only when the answer has come or was given up.
+            return answered and report.tally > attempt.reply_tally
+        return True
+
+    def _present(self, machine: Machine, chore: Chore, now: float) -> None:
+        job_id, index = split_task(chore.chore)
+        job = self._ctx.fleet.jobs.get(job_id)
+        attempt = machine.attempts.get(chore.chore)
+        if attempt is not None and attempt.number == chore.attempt:
+            if attempt.status != chore.status:
+                attempt.status = chore.status
+                if chore.status == "running":
+                    attempt.running_at = attempt.running_at or now
+                    machine.touch_image(attempt.job.spec.bundle, attempt.job.spec.sizeGb)
+            return
+        if attempt is None and job is not None and 0 <= index < job.spec.chores and not job.active.get(index):
+            state = job.states[index]
+            adopted = Attempt(job, index, chore.attempt, machine, machine.shift, now, status=chore.status)
+            if chore.status == "running":
+                adopted.running_at = now
+                machine.touch_image(job.spec.bundle, job.spec.sizeGb)
+            self._ctx.fleet.add(adopted)
+            if state == DONE:
+                job.states[index] = DONE
+            if state == DONE or job.over:
+                # It runs, so it counts; but nobody has a use for it any more.
+                adopted.stopping_at = now
+            return
+        machine.strangers.add(chore.chore)
+
+    def _ended(self, machine: Machine, chore: Chore, now: float) -> None:
+        job_id, index = split_task(chore.chore)
+        job = self._ctx.fleet.jobs.get(job_id)
+        if job is None or not 0 <= index < job.spec.chores:
+            return
+        attempt = machine.attempts.get(chore.chore)
+        ours = attempt is not None and attempt.number == chore.attempt
+        if chore.cause == "done":
+            machine.touch_image(job.spec.bundle, job.spec.sizeGb)
+            if ours and attempt is not None and attempt.running_at is not None:
+                self._on_ran(attempt, now)
+            if job.states[index] != DONE:
+                job.states[index] = DONE
+                job.done += 1
+                job.unsaved.add(index)
+                self._on_done(job, index)
+        elif ours and attempt is not None:
+            self._failed(attempt, chore, now)
+        if ours and attempt is not None:
+            self._over(attempt, now)
+
+    def _failed(self, attempt: Attempt, chore: Chore, now: float) -> None:
+        job, machine = attempt.job, attempt.machine
+        if chore.cause == "error":
+            machine.errors.add(job.id)
+            job.failures += 1
+            # A job with a mistake in it fails everywhere: it comes back ever more slowly.
+            pause = self._ctx.times.report_s * 2 ** min(job.failures, 8)
+            job.retry_at = now + min(pause, self._ctx.times.cancel_s)
+        elif chore.cause in ("no_room", "busy"):
+            machine.refused_until = now + 2 * self._ctx.times.report_s
+        elif chore.cause == "no_such":
+            job.retry_at = now + self._ctx.times.report_s
+
+    def _over(self, attempt: Attempt, now: float) -> None:
+        self._on_over(attempt)
+        self._ctx.fleet.remove(attempt, now)
+        self._ctx.dirty = True
+
+    # -- orders ----------------------------------------------------------------------------------
+
+    def _orders(self, machine: Machine, report: Report, now: float) -> list[Order]:
+        orders: list[Order] = []
+        for chore in report.chores:
+            if chore.status == "ended":
+                if self._may_reap(chore):
+                    orders.append({"verb": "reap", "chore": chore.chore, "try": chore.attempt})
+            elif chore.chore in machine.strangers:
+                orders.append({"verb": "stop", "chore": chore.chore, "try": chore.attempt, "leewayS": 0})
+        for attempt in machine.attempts.values():
+            if attempt.stopping_at is not None:
+                orders.append(self._stop_order(attempt, now))
+            elif attempt.status == "sent" and attempt.via == "reply" and attempt.reply_tally < 0:
+                attempt.reply_tally = report.tally
+                orders.append({"verb": "run", "chore": attempt.name, "try": attempt.number})
+        return orders
+
+    def _may_reap(self, chore: Chore) -> bool:
+        """A completion must be durable first: its worker is the only one that knows of it."""
+        job_id, index = split_task(chore.chore)
+        job = self._ctx.fleet.jobs.get(job_id)
+        return job is None or job.over or index not in job.unsaved
+
+    @staticmethod
+    def _stop_order(attempt: Attempt, now: float) -> Order:
+        leeway = attempt.leeway_s
+        if attempt.stopping_at is not None and now > attempt.stopping_at + leeway:
+            leeway = 0.0
+        return {"verb": "stop", "chore": attempt.name, "try": attempt.number, "leewayS": leeway}
+
+    def start(self, job: Job, index: int, machine: Machine, victims: list[Attempt]) -> Attempt:
+        """Start a task, after stopping the victims on the same machine."""
+        now = self._ctx.clock()
+        attempt = Attempt(job, index, self._ctx.number(), machine, machine.shift, now)
+        for victim in victims:
+            self.stop(victim, 0.0, now, direct=False)
+        if now < machine.shaky_until:
+            attempt.via = "reply"
+        else:
+            attempt.via = "do"
+            attempt.in_flight = True
+            machine.direct += [self._stop_order(victim, now) for victim in victims]
+            machine.direct.append({"verb": "run", "chore": attempt.name, "try": attempt.number})
+        self._ctx.fleet.add(attempt)
+        return attempt
+
+    def stop(self, attempt: Attempt, leeway_s: float, now: float, direct: bool = True) -> None:
+        """Stop an attempt, and keep saying so until it is proven gone."""
+        if attempt.stopping_at is None:
+            attempt.stopping_at = now
+            attempt.leeway_s = leeway_s
+        else:
+            attempt.leeway_s = min(attempt.leeway_s, leeway_s)
+        if attempt.status == "sent" and attempt.via == "reply" and attempt.reply_tally < 0:
+            # Its start was never handed out.
+            self._over(attempt, now)
+            return
+        if direct:
+            attempt.machine.direct.append(self._stop_order(attempt, now))
+
+    def flush(self) -> None:
+        """Send what is to be said to workers directly."""
+        for machine in self._ctx.fleet.machines.values():
+            if machine.direct and not machine.do_busy:
+                orders, machine.direct = machine.direct[:200], machine.direct[200:]
+                self._do(machine, orders)
+
+    def probe(self, machine: Machine, now: float) -> None:
+        """Ask a worker for a report, and hand it our baton."""
+        if machine.do_busy or now < machine.probe_at or not machine.endpoint or machine.deleting:
+            return
+        machine.probe_at = now + self._ctx.times.report_s
+        self._do(machine, [])
+
+    def _do(self, machine: Machine, orders: list[Order]) -> None:
+        ctx = self._ctx
+        machine.do_busy = True
+        runs = [str(order["chore"]) for order in orders if order["verb"] == "run"]
+        batch = [machine.attempts[name] for name in runs if name in machine.attempts]
+        # An unheard worker's session is unknown: a command for none is not executed, but answered.
+        body = {"baton": ctx.baton, "shift": machine.shift or 1, "orders": orders}
+        silent = ctx.clock() - machine.last_report > ctx.times.silent_s
+
+        def answered(outcome: str, report: Report | None) -> None:
+            self._answered(machine, batch, outcome, report)
+
+        ctx.edges.do(machine.name, machine.endpoint, body, answered, silent and bool(machine.heard))
+
+    def _answered(self, machine: Machine, batch: list[Attempt], outcome: str, report: Report | None) -> None:
+        ctx = self._ctx
+        now = ctx.clock()
+        machine.do_busy = False
+        if ctx.fleet.machines.get(machine.name) is not machine:
+            return
+        if report is not None and report.baton > ctx.baton:
+            ctx.edges.deposed(report.baton)
+            return
+        for attempt in batch:
+            if machine.attempts.get(attempt.name) is not attempt:
+                continue
+            attempt.in_flight = False
+            if attempt.status != "sent":
+                continue
+            if outcome in (REFUSED, UNSENT):
+                # Nothing was executed, and nothing can be later.
+                self._over(attempt, now)
+            elif outcome == UNSURE:
+                attempt.fence = ctx.baton + 1
+        if outcome in (UNSENT, UNSURE):
+            machine.shaky_until = now + ctx.times.lease_s / 2
+        if (
+            report is not None
+            and report.box == machine.name
+            and report.baton >= ctx.term_baton
+            and (report.shift, report.tally) > (machine.shift, machine.tally)
+        ):
+            self._take(machine, report, now, answered=False)
+        elif report is not None and not machine.heard and report.shift > machine.shift:
+            # The command named another session than the worker's: ask again with the right one.
+            machine.shift, machine.probe_at = report.shift, 0.0
+
+    # -- proofs by time, and machines that are gone ------------------------------------------------
+
+    def raise_baton(self) -> None:
+        """Raise our baton if a start is in limbo: commands under the old one then are void."""
+        ctx = self._ctx
+        if self._raising:
+            return
+        wanted = max(
+            (
+                attempt.fence or 0
+                for machine in ctx.fleet.machines.values()
+                for attempt in machine.attempts.values()
+            ),
+            default=0,
+        )
+        if wanted <= ctx.baton:
+            return
+        self._raising = True
+        baton = ctx.baton + 1
+
+        def raised(done: bool) -> None:
+            self._raising = False
+            if done:
+                ctx.baton = baton
+                ctx.edges.raised(baton)
+
+        ctx.edges.commit({}, [put(BATON, {"baton": baton})], raised, first=True)
+
+    def expire(self, machine: Machine, now: float) -> None:
+        """End the attempts of a silent worker whose lease is over, whoever might have answered it."""
+        times = self._ctx.times
+        if machine.heard:
+            # It has followed our baton, so only we could renew its lease: as long as nobody else led.
+            bound = machine.last_answer + times.lease_over_s
+        else:
+            # Before our term others answered it, for as long as they could at the most.
+            bound = max(self.began_at + times.others_over_s, machine.last_answer + times.lease_over_s)
+        if now <= bound or self._ctx.edges.confirmed_at() <= bound:
+            return
+        for attempt in list(machine.attempts.values()):
+            self._over(attempt, now)
+        self.unheard.discard(machine.name)
+
+    def gone(self, machine: Machine) -> None:
+        """A machine is gone for certain, with all that was on it."""
+        now = self._ctx.clock()
+        for attempt in list(machine.attempts.values()):
+            self._over(attempt, now)
+        self.unheard.discard(machine.name)
+        self._ctx.fleet.machines.pop(machine.name, None)
+        self._ctx.dead[machine.name] = now
+        self._ctx.dirty = True
--- /dev/null
+++ b/src/poppyhold/cli.py
@@ -0,0 +1,58 @@
+"""The command line."""
+
+from __future__ import annotations
+
+import argparse
+import logging
+import os
+import sys
+import threading
+from collections.abc import Sequence
+
+from poppyhold import __version__
+from poppyhold.settings import ConfigError, load_settings
+
+# A thread per connection: a small stack each.
+_STACK = 256 * 1024
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="poppyhold", description="A scheduler for model-serving fleets.")
+    parser.add_argument("--version", action="version", version=f"poppyhold {__version__}")
+    commands = parser.add_subparsers(dest="command", required=True)
+    for name, text in (("serve", "run one controller"), ("check-config", "check the files and stop")):
+        command = commands.add_parser(name, help=text, description=text)
+        command.add_argument("--options", metavar="FILE", help="operators' settings, protobuf text format")
+        command.add_argument("--config", metavar="FILE", required=True, help="the platform's settings, TOML")
+    return parser
+
+
+def _log_level() -> int:
+    name = os.environ.get("LOG_LEVEL", "info").upper()
+    return {"ERROR": logging.ERROR, "DEBUG": logging.DEBUG}.get(name, logging.INFO)
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the program; returns its exit status."""
+    args = _parser().parse_args(argv)
+    logging.basicConfig(stream=sys.stderr, level=_log_level(), format="%(levelname).1s %(name)s: %(message)s")
+    from poppyhold.options import load_options
+
+    try:
+        settings = load_settings(args.config)
+        options = load_options(args.options)
+    except ConfigError as error:
+        print(f"poppyhold: {error}", file=sys.stderr)
+        return 2
+    if args.command == "check-config":
+        print("ok")
+        return 0
+    threading.stack_size(_STACK)
+    from poppyhold.service import Node
+
+    node = Node(settings, options)
+    try:
+        node.run()
+    except KeyboardInterrupt:
+        node.stop()
+    return 0
--- /dev/null
+++ b/src/poppyhold/cloud.py
@@ -0,0 +1,161 @@
+"""The cloud's interface: one thread, within the cloud's rate."""
+
+from __future__ import annotations
+
+import logging
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import TypeVar
+
+from poppyhold.context import OK, REFUSED, UNSURE, Data
+from poppyhold.http import Client, NoAnswer, NotSent
+from poppyhold.messages import Build, Builds, Hired, Listed, MachineList, Malformed, convert
+from poppyhold.settings import Settings, split_address
+
+log = logging.getLogger(__name__)
+
+T = TypeVar("T")
+
+
+class CloudClient:
+    """Typed calls, each made once."""
+
+    def __init__(self, settings: Settings) -> None:
+        host, port = split_address(settings.outside.cloud)
+        self._client = Client(host, port, keep=2)
+        self._timeout = settings.settings.workers.lease_s / 3
+
+    def builds(self) -> list[Build] | None:
+        """The machine types, or None if the cloud does not say."""
+        answer = self._get("/machine_types", Builds)
+        return answer.builds if answer is not None else None
+
+    def page(self, since: str) -> MachineList | None:
+        """One page of the list, or None."""
+        after = f"since={since}&" if since else ""
+        return self._get(f"/machines?{after}most=500", MachineList)
+
+    def _get(self, path: str, kind: type[T]) -> T | None:
+        try:
+            status, data = self._client.request("GET", path, timeout=self._timeout)
+            return convert(data, kind) if status == 200 else None
+        except (NotSent, NoAnswer, Malformed) as error:
+            log.debug("cloud %s: %s", path, error)
+            return None
+
+    def hire(self, body: Data) -> tuple[str, list[str]]:
+        """Rent machines. Unless the cloud says no, the request may yet be carried out."""
+        try:
+            status, data = self._client.request("POST", "/machines", body, timeout=self._timeout)
+            if status == 200:
+                return OK, convert(data, Hired).boxes
+        except (NotSent, NoAnswer, Malformed) as error:
+            log.debug("hire: %s", error)
+            return UNSURE, []
+        if (status == 503 and data.get("error") == "no capacity") or status == 400:
+            return REFUSED, []
+        return UNSURE, []
+
+    def delete(self, names: list[str]) -> bool:
+        """Delete machines; once True is returned they are gone."""
+        try:
+            status, _ = self._client.request(
+                "POST", "/machines/delete", {"boxes": names}, timeout=self._timeout
+            )
+            return status == 200
+        except (NotSent, NoAnswer) as error:
+            log.debug("delete: %s", error)
+            return False
+
+
+class CloudThread:
+    """The leader's calls to the cloud, deletions before hires before looks."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        client: CloudClient,
+        on_builds: Callable[[list[Build]], None],
+        on_listed: Callable[[list[Listed]], None],
+    ) -> None:
+        self._client, self._on_builds, self._on_listed = client, on_builds, on_listed
+        cloud = settings.settings.cloud
+        self._gap_s = 1.0 / cloud.rps
+        self._list_s = cloud.list_lag_s / 2
+        self._builds_s = cloud.list_lag_s * 4
+        self._deletes: deque[tuple[list[str], Callable[[bool], None]]] = deque()
+        self._hires: deque[tuple[Data, Callable[[str, list[str]], None]]] = deque()
+        self._wake = threading.Condition()
+        self._stopped = False
+        self._thread = threading.Thread(target=self._run, name="cloud", daemon=True)
+        self._thread.start()
+
+    def delete(self, names: list[str], done: Callable[[bool], None]) -> None:
+        """Queue a deletion."""
+        with self._wake:
+            self._deletes.append((names, done))
+            self._wake.notify()
+
+    def hire(self, body: Data, done: Callable[[str, list[str]], None]) -> None:
+        """Queue a hire."""
+        with self._wake:
+            self._hires.append((body, done))
+            self._wake.notify()
+
+    def stop(self) -> None:
+        """End the thread after the call that it is in."""
+        with self._wake:
+            self._stopped = True
+            self._wake.notify()
+
+    def _run(self) -> None:
+        now = time.monotonic()
+        list_at, builds_at = now, now
+        credit_at = now
+        while not self._stopped:
+            with self._wake:
+                while not (self._deletes or self._hires or self._stopped):
+                    rest = min(list_at, builds_at) - time.monotonic()
+                    if rest <= 0:
+                        break
+                    self._wake.wait(rest)
+            if self._stopped:
+                return
+            now = time.monotonic()
+            # Bursts of one second's worth: half of what the cloud bears.
+            credit_at = max(credit_at + self._gap_s, now - 1.0)
+            if credit_at > now:
+                time.sleep(credit_at - now)
+            try:
+                if self._deletes:
+                    names, deleted = self._deletes.popleft()
+                    deleted(self._client.delete(names))
+                elif self._hires:
+                    body, hired = self._hires.popleft()
+                    hired(*self._client.hire(body))
+                elif time.monotonic() >= list_at:
+                    list_at = time.monotonic() + self._list_s
+                    self._list()
+                else:
+                    builds_at = time.monotonic() + self._builds_s
+                    builds = self._client.builds()
+                    if builds is not None:
+                        self._on_builds(builds)
+            except Exception:
+                log.exception("cloud")
+
+    def _list(self) -> None:
+        since = ""
+        boxes: list[Listed] = []
+        while True:
+            page = self._client.page(since)
+            if page is None:
+                return
+            boxes += page.boxes
+            if not page.more or not page.boxes:
+                break
+            since = page.boxes[-1].nameId
+            time.sleep(self._gap_s)
+        self._on_listed(boxes)
--- /dev/null
+++ b/src/poppyhold/context.py
@@ -0,0 +1,107 @@
+"""What the parts of the decision core share: clocks, figures, the fleet, and the way out to the edges."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from poppyhold.fleet import Fleet
+from poppyhold.messages import Build, Report
+from poppyhold.options_pb2 import Options
+from poppyhold.settings import Settings
+
+Data = dict[str, Any]
+
+# Outcomes of a request to another system.
+OK, REFUSED, UNSENT, UNSURE = "ok", "refused", "unsent", "unsure"
+
+
+class Edges(Protocol):
+    """Everything that the core asks of the outside. Each callback comes back on the core's thread."""
+
+    def commit(
+        self,
+        conditions: dict[str, int],
+        writes: list[Data],
+        done: Callable[[bool], None],
+        first: bool = False,
+    ) -> None:
+        """Carry out a transaction under our leadership, and repeat it until its outcome is certain."""
+
+    def do(
+        self, box: str, endpoint: str, body: Data, done: Callable[[str, Report | None], None], patient: bool
+    ) -> None:
+        """POST /do to a worker, once. ``patient`` requests don't hold up the others."""
+
+    def hire(self, body: Data, done: Callable[[str, list[str]], None]) -> None:
+        """POST /machines, once."""
+
+    def delete(self, names: list[str], done: Callable[[bool], None]) -> None:
+        """POST /machines/delete, once."""
+
+    def deposed(self, baton: int) -> None:
+        """A higher baton than ours was seen."""
+
+    def raised(self, baton: int) -> None:
+        """Our baton was raised."""
+
+    def resign(self, why: str) -> None:
+        """Let another node lead."""
+
+    def over(self, job_id: str, status: str, chores: int) -> None:
+        """The final state of a job is durable."""
+
+    def may_start(self) -> bool:
+        """Whether our leadership was confirmed lately enough to start tasks."""
+
+    def confirmed_at(self) -> float:
+        """Moment at which nobody else can have led yet."""
+
+
+class Times:
+    """Spans of time, each a ratio to the settings."""
+
+    def __init__(self, settings: Settings, options: Options) -> None:
+        workers = settings.settings.workers
+        self.report_s = workers.report_s
+        self.lease_s = workers.lease_s
+        self.cancel_s = workers.cancel_s
+        # Clocks drift apart by 0.05%: a lease is over for certain only a little later.
+        self.lease_over_s = workers.lease_s * 1.001 + workers.report_s * 0.25
+        # A worker that has been silent so long gets no new tasks.
+        self.silent_s = workers.report_s * options.leadership.silent_reports
+        # After so long its machine is given up, if that is not the way of most others too.
+        self.lost_s = workers.lease_s * 0.5
+        # A leader that lost its way may answer workers this long; then their leases have to end.
+        self.blind_answers_s = workers.cancel_s - self.lease_over_s - workers.report_s * 2
+        # Since our term began, nobody else's answers can keep a task alive longer.
+        self.others_over_s = workers.cancel_s * 1.001 + workers.report_s
+        self.slot_s = workers.lease_s * options.design.slot_leases
+
+
+@dataclass
+class Context:
+    """Shared by the parts of one term's core; only the decision thread touches it."""
+
+    settings: Settings
+    options: Options
+    edges: Edges
+    clock: Callable[[], float]
+    wall: Callable[[], float]
+    rng: random.Random
+    term_baton: int
+    baton: int
+    times: Times
+    fleet: Fleet = field(default_factory=Fleet)
+    builds: dict[str, Build] = field(default_factory=dict)
+    # Machines that we deleted, and when: old lists and reports still name them.
+    dead: dict[str, float] = field(default_factory=dict)
+    dirty: bool = True
+    counter: int = 0
+
+    def number(self) -> int:
+        """A number that no attempt and no hire has had, in this term or any other."""
+        self.counter += 1
+        return (self.term_baton << 24) + self.counter
--- /dev/null
+++ b/src/poppyhold/controller.py
@@ -0,0 +1,320 @@
+"""The decision core of one term: it owns the fleet's state, and does no I/O of its own."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from poppyhold.admission import Admission
+from poppyhold.attempts import Attempts
+from poppyhold.context import Context, Edges, Times
+from poppyhold.fleet import (
+    DONE,
+    Attempt,
+    Job,
+    Machine,
+    decode_done,
+    encode_done,
+    make_job,
+)
+from poppyhold.hiring import Hiring
+from poppyhold.messages import Build, Listed, Malformed, Report, convert, parse_submission
+from poppyhold.options_pb2 import Options
+from poppyhold.placement import Quotas
+from poppyhold.settings import Settings
+from poppyhold.store import ACTIVE, Data, Entry, final_writes, put, remove
+from poppyhold.store import DONE as DONE_KEYS
+
+
+class Snapshot:
+    """What the state service held when the term began."""
+
+    def __init__(
+        self,
+        active: Iterable[Entry] = (),
+        plans: dict[str, Data] | None = None,
+        done: dict[str, Data] | None = None,
+        hires: dict[str, Data] | None = None,
+        machines: dict[str, Data] | None = None,
+    ) -> None:
+        self.active = list(active)
+        self.plans = plans or {}
+        self.done = done or {}
+        self.hires = hires or {}
+        self.machines = machines or {}
+
+
+class Controller:
+    """Takes events in order, one at a time, and answers reports."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        options: Options,
+        edges: Edges,
+        baton: int,
+        clock: Callable[[], float],
+        wall: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        times = Times(settings, options)
+        self.ctx = Context(settings, options, edges, clock, wall, rng, baton, baton, times)
+        self._quotas = Quotas(settings.settings.teams)
+        self.attempts = Attempts(self.ctx, self._task_done, self._attempt_over, self._task_ran)
+        self.admission = Admission(self.ctx, self.attempts, self._quotas)
+        self.hiring = Hiring(self.ctx, self.attempts, self._machine_gone)
+        # Tasks per durable record of completions: a quarter of the largest value, four to a digit.
+        self._chunk = max(64, int(settings.settings.state.value_kb * 1024 / 4) * 4)
+        self._guarantees_stale = True
+        self._flush_at = 0.0
+        self._loaded = False
+
+    # -- the beginning of a term ---------------------------------------------------------------------
+
+    def load(self, snapshot: Snapshot, builds: Iterable[Build]) -> None:
+        """Rebuild from what earlier leaders made durable; reports bring the rest."""
+        ctx = self.ctx
+        now = ctx.clock()
+        for build in builds:
+            ctx.builds[build.name] = build
+        for name, data in snapshot.machines.items():
+            build = convert(data["build"], Build)
+            ctx.builds.setdefault(build.name, build)
+            machine = Machine(name, build, data["paddock"], data["loaners"], since=now)
+            machine.endpoint = data["endpoint"]
+            machine.recorded = machine.record_asked = machine.up = True
+            ctx.fleet.machines[name] = machine
+            self.attempts.unheard.add(name)
+        for name, data in snapshot.hires.items():
+            self.hiring.load_hire(name, data)
+        for entry in snapshot.active:
+            job = self._add_job(entry)
+            if job is not None and job.id in snapshot.plans:
+                self.admission.load(job, snapshot.plans[job.id])
+        for key, data in snapshot.done.items():
+            job_id, _, chunk = key.rpartition("/")
+            job = ctx.fleet.jobs.get(job_id)
+            if job is None:
+                ctx.edges.commit({}, [remove(DONE_KEYS + key)], lambda done: None)
+                continue
+            job.saved_chunks.add(int(chunk))
+            for index in decode_done(job, int(chunk), self._chunk, data["d"]):
+                if job.states[index] != DONE:
+                    job.states[index] = DONE
+                    job.done += 1
+        for job in list(ctx.fleet.jobs.values()):
+            if not job.plan_durable:
+                self._arrive(job)
+            if job.done == job.spec.chores:
+                self._finish(job)
+        self._loaded = True
+        for machine in ctx.fleet.machines.values():
+            self.attempts.probe(machine, now)
+
+    # -- events --------------------------------------------------------------------------------------
+
+    def builds(self, builds: Iterable[Build]) -> None:
+        """The cloud told its machine types and prices of now."""
+        for build in builds:
+            self.ctx.builds[build.name] = build
+
+    def hello(self, report: Report) -> dict[str, Any] | None:
+        """Answer a worker's report."""
+        answer = self.attempts.hello(report)
+        machine = self.ctx.fleet.machines.get(report.box)
+        if machine is not None:
+            self._follow_machine(machine)
+        return answer
+
+    def job_set(self, entry: Entry) -> None:
+        """A job was accepted."""
+        if entry.key.removeprefix(ACTIVE) in self.ctx.fleet.jobs:
+            return
+        job = self._add_job(entry)
+        if job is not None:
+            self.hiring.arrivals.note(self.ctx.clock(), job.spec)
+            self._arrive(job)
+
+    def job_removed(self, key: str) -> None:
+        """A job is over: cancelled by its user, or done by us."""
+        job = self.ctx.fleet.jobs.get(key.removeprefix(ACTIVE))
+        if job is None or job.over:
+            return
+        job.over = True
+        self._guarantees_stale = True
+        self.admission.forget(job)
+        now = self.ctx.clock()
+        for attempt in list(job.active.values()):
+            self.attempts.stop(attempt, 0.0, now)
+        if job.saved_chunks:
+            writes = [remove(f"{DONE_KEYS}{job.id}/{chunk}") for chunk in job.saved_chunks]
+            size = self.ctx.settings.settings.state.txn_ops
+            for first in range(0, len(writes), size):
+                self.ctx.edges.commit({}, writes[first : first + size], lambda done: None)
+        self._prune(job)
+        self.ctx.dirty = True
+
+    def resync(self, entries: list[Entry]) -> None:
+        """The watch began anew: what is not among the entries is over."""
+        present = {entry.key for entry in entries}
+        for job_id in list(self.ctx.fleet.jobs):
+            if ACTIVE + job_id not in present:
+                self.job_removed(ACTIVE + job_id)
+        for entry in entries:
+            self.job_set(entry)
+
+    def listed(self, boxes: Iterable[Listed]) -> None:
+        """The cloud listed its machines."""
+        self.hiring.listed(boxes)
+
+    def tick(self) -> None:
+        """What time alone brings about."""
+        now = self.ctx.clock()
+        self.admission.roll()
+        self.hiring.watch()
+        self._drain(now)
+        self.attempts.raise_baton()
+        if now >= self._flush_at:
+            self._flush_at = now + self.ctx.times.report_s / 2
+            self._save_done()
+        self.hiring.provide(lambda team: 0)
+        self.ctx.dirty = True
+
+    def settle(self) -> None:
+        """After a batch of events: start what may start, and send it."""
+        if self.ctx.dirty and self.ctx.edges.may_start():
+            self.ctx.dirty = False
+            if self._guarantees_stale:
+                self._guarantees_stale = False
+                self._quotas.mark_guaranteed(job for job in self.ctx.fleet.jobs.values() if not job.over)
+            self.admission.dispatch(not self.attempts.unheard)
+        self.attempts.flush()
+
+    def counts(self) -> dict[str, tuple[int, int]]:
+        """Done and running tasks by job, for display."""
+        return {job.id: (job.done, job.running) for job in self.ctx.fleet.jobs.values() if not job.over}
+
+    # -- jobs ----------------------------------------------------------------------------------------
+
+    def _add_job(self, entry: Entry) -> Job | None:
+        try:
+            spec = parse_submission(entry.data["spec"])
+        except (KeyError, Malformed):
+            return None
+        # Its user's clock began at the time of day that is kept with it.
+        ago = max(0.0, self.ctx.wall() - float(entry.data["at"]))
+        job = make_job(spec, entry.stamp, self.ctx.clock() - ago)
+        self.ctx.fleet.jobs[job.id] = job
+        self._guarantees_stale = True
+        self.ctx.dirty = True
+        return job
+
+    def _arrive(self, job: Job) -> None:
+        self.admission.arrive(job)
+
+    def _prune(self, job: Job) -> None:
+        if job.over and not job.active:
+            self.ctx.fleet.jobs.pop(job.id, None)
+
+    def _task_ran(self, attempt: Attempt, now: float) -> None:
+        # Only whole runs tell how long a task takes.
+        if attempt.via != "seen" and attempt.running_at is not None:
+            self.admission.estimates.note(attempt.job, now - attempt.running_at)
+
+    def _task_done(self, job: Job, index: int) -> None:
+        other = job.active.get(index)
+        if other is not None:
+            self.attempts.stop(other, 0.0, self.ctx.clock())
+        if job.done == job.spec.chores:
+            self._finish(job)
+
+    def _finish(self, job: Job) -> None:
+        if job.finishing or job.over:
+            return
+        job.finishing = True
+
+        def durable(done: bool) -> None:
+            if done:
+                self.ctx.edges.over(job.id, "done", job.spec.chores)
+            # Otherwise it is over in another way, or was by a repeat of this: the watch tells.
+            self.job_removed(ACTIVE + job.id)
+
+        self.ctx.edges.commit(
+            {ACTIVE + job.id: job.stamp}, final_writes(job.id, "done", job.spec.chores), durable, first=True
+        )
+
+    def _save_done(self) -> None:
+        """Make completions durable, a record for each stretch of a job's tasks that has new ones."""
+        for job in self.ctx.fleet.jobs.values():
+            if not job.unsaved or job.saving or job.finishing or job.over:
+                continue
+            indices = set(job.unsaved)
+            chunks = {index // self._chunk for index in indices}
+            writes = [
+                put(f"{DONE_KEYS}{job.id}/{chunk}", {"d": encode_done(job, chunk, self._chunk)})
+                for chunk in chunks
+            ]
+            job.saving = True
+            job.saved_chunks |= chunks
+            self.ctx.edges.commit({ACTIVE + job.id: job.stamp}, writes, self._saved(job, indices))
+
+    @staticmethod
+    def _saved(job: Job, indices: set[int]) -> Callable[[bool], None]:
+        def durable(done: bool) -> None:
+            job.saving = False
+            if done:
+                job.unsaved -= indices
+
+        return durable
+
+    # -- machines ------------------------------------------------------------------------------------
+
+    def _attempt_over(self, attempt: Attempt) -> None:
+        self.admission.over(attempt)
+        job = attempt.job
+        if job.over and set(job.active) <= {attempt.index}:
+            self.ctx.fleet.jobs.pop(job.id, None)
+
+    def _follow_machine(self, machine: Machine) -> None:
+        usable = machine.up and machine.heard and not (machine.leaving or machine.deleting)
+        if usable and machine.recall_at is None:
+            self.admission.machine_up(machine)
+        else:
+            self.admission.machine_out(machine)
+
+    def _machine_gone(self, machine: Machine) -> None:
+        self.admission.machine_out(machine)
+
+    def _drain(self, now: float) -> None:
+        """Move work off machines that will go: a notice may last half as long as it says."""
+        times = self.ctx.times
+        for machine in self.ctx.fleet.machines.values():
+            if (machine.recall_at is None and not machine.leaving) or machine.deleting:
+                continue
+            self.admission.machine_out(machine)
+            left = math.inf
+            if machine.recall_at is not None and machine.recalled_at is not None:
+                left = (machine.recall_at - machine.recalled_at) / 2 - (now - machine.recalled_at)
+            for attempt in list(machine.attempts.values()):
+                if attempt.stopping_at is None and self._must_go(attempt, left, now):
+                    leeway = (
+                        attempt.job.spec.stashS + times.report_s if attempt.job.spec.bookmarkS > 0 else 0.0
+                    )
+                    self.attempts.stop(attempt, leeway, now)
+
+    def _must_go(self, attempt: Attempt, left: float, now: float) -> bool:
+        job = attempt.job
+        if job.service or attempt.status in ("sent", "pulling"):
+            return True
+        if left == math.inf:
+            # A machine at fault: whatever runs there had better start again elsewhere.
+            return True
+        ran = now - attempt.running_at if attempt.running_at is not None else 0.0
+        rest = max(0.0, self.admission.estimates.seconds(job) - ran)
+        if rest < left:
+            return False
+        if job.spec.bookmarkS > 0:
+            return left < job.spec.stashS + 2 * self.ctx.times.report_s
+        return True
--- /dev/null
+++ b/src/poppyhold/election.py
@@ -0,0 +1,232 @@
+"""Who leads: a key on a lease in the state service, and the baton that only ever rises."""
+
+from __future__ import annotations
+
+import logging
+import random
+import threading
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from poppyhold.options_pb2 import Options
+from poppyhold.settings import Settings
+from poppyhold.store import (
+    BATON,
+    LEAD,
+    LEAD_PREFIX,
+    Conflict,
+    Entry,
+    Gone,
+    Refused,
+    Store,
+    Unsure,
+    Watch,
+    put,
+)
+
+log = logging.getLogger(__name__)
+
+
+class Leader(NamedTuple):
+    """The leader's key as last seen."""
+
+    member: str
+    baton: int
+    permit: int
+    stamp: int
+
+
+class Term(NamedTuple):
+    """Our own term of leading."""
+
+    baton: int
+    stamp: int
+    permit: int
+    began_at: float
+
+
+class Election:
+    """One thread that campaigns, renews and steps down; another that watches the leader's key."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        options: Options,
+        store: Store,
+        on_elected: Callable[[Term], None],
+        on_deposed: Callable[[], None],
+        rng: random.Random,
+    ) -> None:
+        self._member = settings.member
+        self._store, self._rng = store, rng
+        self._on_elected, self._on_deposed = on_elected, on_deposed
+        lease_s = settings.settings.workers.lease_s
+        self.life_s = lease_s * options.leadership.term_leases
+        self._renew_s = self.life_s / options.leadership.renewals
+        self._rest_s = lease_s
+        self._lock = threading.Lock()
+        self._wake = threading.Event()
+        self._stopped = False
+        self._resting_until = 0.0
+        self.leader: Leader | None = None
+        self.term: Term | None = None
+        # The term was certainly ours at this moment.
+        self.confirmed_at = float("-inf")
+        self.watch = Watch(store, LEAD_PREFIX, lease_s / 5, self._on_snapshot, self._on_change)
+        self._thread = threading.Thread(target=self._run, name="election", daemon=True)
+
+    def start(self) -> None:
+        """Start both threads."""
+        self.watch.start()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Step down and end the threads."""
+        self._stopped = True
+        self.watch.stop()
+        self.resign("stopped")
+
+    def resign(self, why: str) -> None:
+        """Give the term up, for another node to lead, and stand back for a lease."""
+        self._resting_until = time.monotonic() + self._rest_s
+        term = self.term
+        self.deposed(why)
+        if term is not None:
+            self._end_lease(term.permit)
+        self._wake.set()
+
+    def deposed(self, why: str) -> None:
+        """Our term is over."""
+        with self._lock:
+            if self.term is None:
+                return
+            self.term = None
+            self.confirmed_at = float("-inf")
+        log.info("no longer leading: %s", why)
+        self._on_deposed()
+        self._wake.set()
+
+    def saw_baton(self, baton: int) -> None:
+        """Step down at once if somebody holds a higher baton than ours."""
+        term = self.term
+        if term is not None and baton > term.baton:
+            self.deposed(f"baton {baton} was seen")
+
+    def raised(self, baton: int) -> None:
+        """Our own baton was raised within the term."""
+        with self._lock:
+            if self.term is not None:
+                self.term = self.term._replace(baton=baton)
+
+    def depose(self, leader: Leader) -> None:
+        """End the lease of a leader whose process is gone. This is safe even if it is not:
+
+        every step of a leader is conditional on its key, and workers follow the higher baton.
+        """
+        if self.leader == leader and time.monotonic() >= self._resting_until:
+            log.info("deposing %s", leader.member)
+            self._end_lease(leader.permit)
+
+    def _end_lease(self, permit: int) -> None:
+        try:
+            self._store.end_lease(permit)
+        except (Refused, Unsure) as error:
+            log.debug("lease %s: %s", permit, error)
+
+    def _on_snapshot(self, entries: list[Entry]) -> None:
+        self._seen(next((entry for entry in entries if entry.key == LEAD), None))
+
+    def _on_change(self, change: Entry | str, stamp: int) -> None:
+        if isinstance(change, Entry):
+            self._seen(change)
+        elif change == LEAD:
+            term = self.term
+            if term is None or stamp > term.stamp:
+                self._seen(None)
+
+    def _seen(self, entry: Entry | None) -> None:
+        leader = None
+        if entry is not None:
+            data = entry.data
+            leader = Leader(data["member"], data["baton"], data["permit"], entry.stamp)
+        term = self.term
+        if term is not None and (leader is None or leader.stamp > term.stamp):
+            self.leader = leader
+            self.deposed("the leader's key changed")
+        elif term is None or (leader is not None and leader.stamp == term.stamp):
+            self.leader = leader
+        self._wake.set()
+
+    def _run(self) -> None:
+        while not self._stopped:
+            try:
+                wait = self._renew() if self.term is not None else self._campaign()
+            except Exception:
+                log.exception("election")
+                wait = self._renew_s
+            self._wake.wait(wait)
+            self._wake.clear()
+
+    def _renew(self) -> float:
+        term = self.term
+        if term is None:
+            return 0.0
+        asked = time.monotonic()
+        if asked - self.confirmed_at < self._renew_s * 0.9:
+            return self._renew_s - (asked - self.confirmed_at)
+        try:
+            self._store.extend(term.permit, self._renew_s * 2)
+        except Gone:
+            self.deposed("our lease ended")
+            return 0.0
+        except (Refused, Unsure) as error:
+            # An outage and a refusal of us alone look the same: go on for now. What we may still do
+            # without confirmation is bounded in `authority`.
+            log.debug("renewal: %s", error)
+            return self._renew_s / 2
+        if self.term is term or (self.term is not None and self.term.permit == term.permit):
+            self.confirmed_at = asked
+        return self._renew_s
+
+    def _campaign(self) -> float:
+        now = time.monotonic()
+        if now < self._resting_until:
+            return self._resting_until - now
+        if self.watch.synced_at == float("-inf"):
+            return self._renew_s / 4
+        leader = self.leader
+        if leader is not None:
+            if leader.member == self._member:
+                # A process of ours before this one held it.
+                self._end_lease(leader.permit)
+                return self._renew_s / 2
+            return self.life_s
+        try:
+            permit = self._store.lease(self.life_s)
+            asked = time.monotonic()
+            self._stand(permit, asked)
+        except (Refused, Unsure, Gone, Conflict) as error:
+            log.debug("campaign: %s", error)
+        return self._renew_s * self._rng.uniform(0.3, 0.7)
+
+    def _stand(self, permit: int, asked: float) -> None:
+        held = self._store.get(BATON)
+        baton = (held.data["baton"] if held else 0) + 1
+        claim = {"member": self._member, "baton": baton, "permit": permit}
+        conditions = {LEAD: 0, BATON: held.stamp if held else 0}
+        try:
+            stamp = self._store.commit(conditions, [put(LEAD, claim, permit), put(BATON, {"baton": baton})])
+        except Unsure:
+            # Perhaps it went through: the key itself tells. The permit is ours alone.
+            entry = self._store.get(LEAD)
+            if entry is None or entry.data.get("permit") != permit:
+                raise
+            stamp = entry.stamp
+        term = Term(baton, stamp, permit, time.monotonic())
+        with self._lock:
+            self.leader = Leader(self._member, baton, permit, stamp)
+            self.term = term
+            self.confirmed_at = asked
+        log.info("leading with baton %d", baton)
+        self._on_elected(term)
--- /dev/null
+++ b/src/poppyhold/fleet.py
@@ -0,0 +1,306 @@
+"""Jobs, machines and attempts, and what each of them takes: the controller's picture of the fleet."""
+
+from __future__ import annotations
+
+import heapq
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from poppyhold.messages import RANKS, Build, Submission, task_name
+
+# Amounts of cpus, accelerators and memory, in this order.
+Room = tuple[float, float, float]
+NOTHING: Room = (0.0, 0.0, 0.0)
+EPSILON = 1e-6
+
+PENDING, ACTIVE, DONE = 0, 1, 2
+
+
+def fits(need: Room, free: Room) -> bool:
+    """Whether ``need`` fits into ``free``."""
+    return need[0] <= free[0] + EPSILON and need[1] <= free[1] + EPSILON and need[2] <= free[2] + EPSILON
+
+
+def how_many(need: Room, free: Room, most: int) -> int:
+    """How many times ``need`` fits into ``free``, at most ``most``."""
+    for want, have in zip(need, free, strict=True):
+        if want > 0:
+            most = min(most, int((have + EPSILON) / want))
+    return max(0, most)
+
+
+def plus(a: Room, b: Room, times: float = 1.0) -> Room:
+    """``a + times * b``."""
+    return (a[0] + times * b[0], a[1] + times * b[1], a[2] + times * b[2])
+
+
+def room_of(build: Build) -> Room:
+    """All the room of a machine type."""
+    return (build.cpus, build.accelerators, build.memGb)
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One try of a task on a machine, from the moment its start may reach the worker."""
+
+    job: Job
+    index: int
+    number: int
+    machine: Machine
+    shift: int
+    sent_at: float
+    status: str = "sent"
+    # How the start was sent: "do", "reply", or "seen" where a report showed it first.
+    via: str = "seen"
+    reply_tally: int = -1
+    # While a direct start has no answer it may still land: until the worker saw this baton.
+    in_flight: bool = False
+    fence: int | None = None
+    running_at: float | None = None
+    stopping_at: float | None = None
+    leeway_s: float = 0.0
+    booked_until: int = 0
+    booked: bool = False
+
+    @property
+    def name(self) -> str:
+        """The task's name."""
+        return task_name(self.job.id, self.index)
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """An accepted job that is not over."""
+
+    id: str
+    spec: Submission
+    stamp: int
+    at: float
+    need: Room
+    rank: int
+    due_at: float | None
+    states: bytearray
+    active: dict[int, Attempt] = field(default_factory=dict)
+    done: int = 0
+    # Tasks whose completion is seen but not durable yet, and those whose record has been asked for.
+    unsaved: set[int] = field(default_factory=set)
+    next_index: int = 0
+    returned: list[int] = field(default_factory=list)
+    admitted: bool = False
+    # No controller has ever started a task of it before our term.
+    fresh: bool = True
+    plan_durable: bool = False
+    plan_asked: bool = False
+    # Planned starts: slot -> zone -> tasks, and their rooms in the ledger: slot -> machine -> tasks.
+    plan: dict[int, dict[str, int]] = field(default_factory=dict)
+    booked: dict[int, dict[str, int]] = field(default_factory=dict)
+    planned_s: float = 0.0
+    guaranteed: bool = False
+    finishing: bool = False
+    # Cancelled, or done and durable: kept only while something of it may still run.
+    over: bool = False
+    saving: bool = False
+    saved_chunks: set[int] = field(default_factory=set)
+    failures: int = 0
+    retry_at: float = 0.0
+    zones: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def service(self) -> bool:
+        """Whether its tasks run until it is cancelled."""
+        return self.spec.shape == "service"
+
+    @property
+    def remaining(self) -> int:
+        """Tasks that are not done."""
+        return self.spec.chores - self.done
+
+    @property
+    def pending(self) -> int:
+        """Tasks that are neither done nor may run."""
+        return self.spec.chores - self.done - len(self.active)
+
+    @property
+    def running(self) -> int:
+        """Tasks that run, for display."""
+        return sum(1 for attempt in self.active.values() if attempt.status in ("running", "flushing"))
+
+    def next_pending(self) -> int | None:
+        """The pending task to start next: one that came back, else the lowest not started yet."""
+        while self.returned and self.states[self.returned[0]] != PENDING:
+            heapq.heappop(self.returned)
+        if self.returned:
+            return self.returned[0]
+        while self.next_index < self.spec.chores and self.states[self.next_index] != PENDING:
+            self.next_index += 1
+        return self.next_index if self.next_index < self.spec.chores else None
+
+    def release(self, index: int) -> None:
+        """A task that was active is pending again."""
+        self.states[index] = PENDING
+        heapq.heappush(self.returned, index)
+
+
+@dataclass(slots=True, eq=False)
+class Machine:
+    """A machine that we hold, or may hold."""
+
+    name: str
+    build: Build
+    zone: str
+    spot: bool
+    since: float
+    endpoint: str = ""
+    # booting: has not reported; up; gone: proven, and out of every count.
+    up: bool = False
+    # Its name is durable, so that a next leader asks it before it starts anything.
+    recorded: bool = False
+    record_asked: bool = False
+    # A report of this term was seen, so that all it holds is known.
+    heard: bool = False
+    shift: int = 0
+    tally: int = -1
+    last_report: float = float("-inf")
+    last_answer: float = float("-inf")
+    recall_at: float | None = None
+    recalled_at: float | None = None
+    leaving: bool = False
+    deleting: bool = False
+    shaky_until: float = 0.0
+    do_busy: bool = False
+    probe_at: float = 0.0
+    attempts: dict[str, Attempt] = field(default_factory=dict)
+    used: Room = NOTHING
+    images: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    # Orders for the worker: directly, and with the next answer to its reports.
+    direct: list[dict[str, object]] = field(default_factory=list)
+    errors: set[str] = field(default_factory=set)
+    idle_since: float = 0.0
+    # Tasks on it that are none of ours: they are stopped, and nothing starts beside them.
+    strangers: set[str] = field(default_factory=set)
+    refused_until: float = 0.0
+
+    @property
+    def capacity(self) -> Room:
+        """All its room."""
+        return room_of(self.build)
+
+    @property
+    def free(self) -> Room:
+        """Room that nothing may be using."""
+        return plus(self.capacity, self.used, -1.0)
+
+    def usable(self, now: float, silent_s: float) -> bool:
+        """Whether tasks may be started on it now."""
+        return (
+            self.up
+            and self.recorded
+            and self.heard
+            and not self.leaving
+            and not self.deleting
+            and self.recall_at is None
+            and not self.strangers
+            and now >= self.refused_until
+            and now - self.last_report <= silent_s
+        )
+
+    def touch_image(self, image: str, size: float) -> None:
+        """Follow the worker's cache: most recently used last, oldest dropped first."""
+        self.images[image] = size
+        self.images.move_to_end(image)
+        total = sum(self.images.values())
+        held = {attempt.job.spec.bundle for attempt in self.attempts.values()}
+        for name in list(self.images):
+            if total <= self.build.localGb:
+                return
+            if name != image and name not in held:
+                total -= self.images.pop(name)
+
+
+class Fleet:
+    """Machines, jobs, and the counts that every placement must respect."""
+
+    def __init__(self) -> None:
+        self.machines: dict[str, Machine] = {}
+        self.jobs: dict[str, Job] = {}
+        self.used: dict[str, list[float]] = {}
+
+    def add(self, attempt: Attempt) -> None:
+        """Count an attempt everywhere."""
+        job, machine = attempt.job, attempt.machine
+        job.states[attempt.index] = ACTIVE
+        job.active[attempt.index] = attempt
+        job.zones[machine.zone] = job.zones.get(machine.zone, 0) + 1
+        machine.attempts[attempt.name] = attempt
+        machine.used = plus(machine.used, job.need)
+        used = self.used.setdefault(job.spec.crew, [0.0, 0.0])
+        used[0] += job.need[0]
+        used[1] += job.need[1]
+
+    def remove(self, attempt: Attempt, now: float) -> None:
+        """An attempt is proven to be over: its task is pending, unless it is done."""
+        job, machine = attempt.job, attempt.machine
+        del job.active[attempt.index]
+        job.zones[machine.zone] -= 1
+        del machine.attempts[attempt.name]
+        machine.used = plus(machine.used, job.need, -1.0) if machine.attempts else NOTHING
+        if not machine.attempts:
+            machine.idle_since = now
+        used = self.used[job.spec.crew]
+        used[0] -= job.need[0]
+        used[1] -= job.need[1]
+        if job.states[attempt.index] == ACTIVE:
+            job.release(attempt.index)
+
+
+def make_job(spec: Submission, stamp: int, at: float) -> Job:
+    """Build a job from its accepted submission."""
+    return Job(
+        id=spec.nameId,
+        spec=spec,
+        stamp=stamp,
+        at=at,
+        need=(spec.cpus, spec.accelerators, spec.memGb),
+        rank=RANKS.index(spec.rank),
+        due_at=None if spec.dueS is None else at + spec.dueS,
+        states=bytearray(spec.chores),
+    )
+
+
+def encode_done(job: Job, chunk: int, size: int) -> str:
+    """The done tasks of one chunk, a bit each, in hexadecimal."""
+    bits = 0
+    for offset, state in enumerate(job.states[chunk * size : (chunk + 1) * size]):
+        if state == DONE:
+            bits |= 1 << offset
+    return f"{bits:x}"
+
+
+def decode_done(job: Job, chunk: int, size: int, text: str) -> Iterable[int]:
+    """Indices of the tasks that a chunk calls done."""
+    bits = int(text, 16)
+    base = chunk * size
+    while bits:
+        low = bits & -bits
+        index = base + low.bit_length() - 1
+        if index < job.spec.chores:
+            yield index
+        bits ^= low
+
+
+def allowed_builds(spec: Submission, builds: Iterable[Build]) -> list[Build]:
+    """Machine types that a task of a job may use and fits on."""
+    need = (spec.cpus, spec.accelerators, spec.memGb)
+    return [
+        build
+        for build in builds
+        if (spec.builds is None or build.name in spec.builds)
+        and fits(need, room_of(build))
+        and (spec.paddock is None or spec.paddock in build.paddocks)
+    ]
+
+
+def zone_limit(spec: Submission) -> int:
+    """How many tasks of a job one zone may hold."""
+    return (spec.chores + 1) // 2 if spec.apart else spec.chores
--- /dev/null
+++ b/src/poppyhold/hiring.py
@@ -0,0 +1,288 @@
+"""The cloud's side of the fleet: hires, the list, machines that are lost, idle or unwanted."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from poppyhold.attempts import Attempts
+from poppyhold.context import OK, REFUSED, Context
+from poppyhold.fleet import NOTHING, Machine, room_of
+from poppyhold.messages import Listed
+from poppyhold.provisioning import Arrivals, Demand, Provisioning, Purchase, Space, demand_of, space_of
+from poppyhold.store import HIRE, MACHINE, Data, put, remove
+
+DELETE_LIMIT = 100
+
+
+@dataclass(slots=True)
+class Hire:
+    """A rental request, durable under its name before it is sent."""
+
+    name: str
+    build: str
+    zone: str
+    spot: bool
+    number: int
+    boxes: list[str] | None = None
+    busy: bool = False
+    retry_at: float = 0.0
+
+
+class Hiring:
+    """Rents and returns machines."""
+
+    def __init__(self, ctx: Context, attempts: Attempts, on_gone: Callable[[Machine], None]) -> None:
+        self._ctx, self._attempts, self._on_gone = ctx, attempts, on_gone
+        self._options = ctx.options.provisioning
+        self._provisioning = Provisioning(self._options)
+        # The forecast looks back over a few leases, as far as the ratio of slots to leases says.
+        self.arrivals = Arrivals(2 * ctx.times.slot_s)
+        self._hires: dict[str, Hire] = {}
+        self._deleting = False
+        self._next_at = ctx.clock() + ctx.times.report_s * 2
+        self._needed: dict[str, float] = {}
+
+    # -- hires -------------------------------------------------------------------------------------
+
+    def load_hire(self, name: str, data: Data) -> None:
+        """A hire that an earlier leader made durable: repeat it if its machines aren't known."""
+        hire = Hire(name, data["build"], data["paddock"], data["loaners"], data["number"], data.get("boxes"))
+        self._hires[name] = hire
+        if hire.boxes is not None:
+            self._expect(hire)
+
+    def _buy(self, purchase: Purchase) -> None:
+        name = f"r-{self._ctx.number()}"
+        hire = Hire(name, purchase.build, purchase.zone, purchase.spot, purchase.number, busy=True)
+        self._hires[name] = hire
+
+        def durable(done: bool) -> None:
+            if done:
+                self._send(hire)
+            else:
+                self._hires.pop(name, None)
+
+        self._ctx.edges.commit({}, [put(HIRE + name, self._data(hire))], durable)
+
+    @staticmethod
+    def _data(hire: Hire) -> Data:
+        return {
+            "build": hire.build,
+            "paddock": hire.zone,
+            "loaners": hire.spot,
+            "number": hire.number,
+            "boxes": hire.boxes,
+        }
+
+    def _send(self, hire: Hire) -> None:
+        hire.busy = True
+        body = {
+            "hire": hire.name,
+            "build": hire.build,
+            "paddock": hire.zone,
+            "loaners": hire.spot,
+            "number": hire.number,
+        }
+
+        def answered(outcome: str, boxes: list[str]) -> None:
+            hire.busy = False
+            now = self._ctx.clock()
+            if outcome == OK:
+                hire.boxes = boxes
+                self._ctx.edges.commit({}, [put(HIRE + hire.name, self._data(hire))], lambda done: None)
+                self._expect(hire)
+                if len(boxes) < hire.number:
+                    self._refused(hire, now)
+            elif outcome == REFUSED:
+                # No capacity. If a copy of the request is carried out later after all, its machines
+                # show up in the list and in reports, and are used or returned like any other.
+                self._refused(hire, now)
+                self._drop(hire)
+            else:
+                hire.retry_at = now + self._ctx.times.report_s * 2
+
+        self._ctx.edges.hire(body, answered)
+
+    def _refused(self, hire: Hire, now: float) -> None:
+        until = now + self._ctx.times.lease_s
+        self._provisioning.refused_until[(hire.build, hire.zone, hire.spot)] = until
+
+    def _drop(self, hire: Hire) -> None:
+        self._hires.pop(hire.name, None)
+        self._ctx.edges.commit({}, [remove(HIRE + hire.name)], lambda done: None)
+
+    def _expect(self, hire: Hire) -> None:
+        """The machines of a hire are on their way."""
+        build = self._ctx.builds.get(hire.build)
+        now = self._ctx.clock()
+        for name in hire.boxes or []:
+            if build is not None and name not in self._ctx.fleet.machines and name not in self._ctx.dead:
+                machine = Machine(name, build, hire.zone, hire.spot, since=now)
+                self._ctx.fleet.machines[name] = machine
+
+    def _settle(self) -> None:
+        """Hires whose machines have all reported, or are gone, need no record any more."""
+        now = self._ctx.clock()
+        for hire in list(self._hires.values()):
+            if hire.boxes is None:
+                if not hire.busy and hire.retry_at <= now:
+                    self._send(hire)
+            elif all(self._settled(name) for name in hire.boxes):
+                self._drop(hire)
+
+    def _settled(self, name: str) -> bool:
+        machine = self._ctx.fleet.machines.get(name)
+        return machine is None or machine.recorded
+
+    # -- the list ----------------------------------------------------------------------------------
+
+    def listed(self, boxes: Iterable[Listed]) -> None:
+        """Take what a list shows. That a machine is missing from it proves nothing."""
+        ctx = self._ctx
+        now = ctx.clock()
+        lag = ctx.settings.settings.cloud.list_lag_s
+        for name, at in list(ctx.dead.items()):
+            if now - at > 40 * lag:
+                del ctx.dead[name]
+        for box in boxes:
+            machine = ctx.fleet.machines.get(box.nameId)
+            if machine is None:
+                build = ctx.builds.get(box.build)
+                if build is None or box.nameId in ctx.dead:
+                    continue
+                machine = Machine(box.nameId, build, box.paddock, box.loaners, since=now - box.heldS)
+                ctx.fleet.machines[box.nameId] = machine
+                ctx.dirty = True
+            if box.endpoint and not machine.endpoint:
+                machine.endpoint = box.endpoint
+            if box.status == "failed":
+                machine.deleting = True
+
+    # -- machines that must go -----------------------------------------------------------------------
+
+    def watch(self) -> None:
+        """Look after machines that are silent, that never came up, or that are to be deleted."""
+        ctx = self._ctx
+        now = ctx.clock()
+        times = ctx.times
+        began = self._attempts.began_at
+        silent: list[Machine] = []
+        up = 0
+        for machine in ctx.fleet.machines.values():
+            if machine.deleting:
+                continue
+            if not machine.up and machine.name not in self._attempts.unheard:
+                if now - machine.since > self._provisioning.give_up_s(machine.build):
+                    machine.deleting = True
+                continue
+            up += 1
+            quiet = now - max(machine.last_report, began + times.report_s * 2)
+            if quiet > times.silent_s / 2:
+                self._attempts.probe(machine, now)
+            if quiet > times.lost_s:
+                if machine.recall_at is not None and now > machine.recall_at - times.lost_s:
+                    machine.deleting = True
+                else:
+                    silent.append(machine)
+            if quiet > times.lease_s:
+                self._attempts.expire(machine, now)
+            if len(machine.errors) > 1:
+                # Different jobs fail on it: the machine is at fault.
+                machine.leaving = True
+        if len(silent) * 2 >= up and len(silent) > 2:
+            # Most are silent to us: it is our own way to them that is broken.
+            ctx.edges.resign("most workers are silent")
+        elif len(silent) <= max(3, up // 4):
+            for machine in silent:
+                machine.deleting = True
+        for machine in ctx.fleet.machines.values():
+            if machine.leaving and not machine.attempts and machine.name not in self._attempts.unheard:
+                machine.deleting = True
+        self._delete()
+
+    def _delete(self) -> None:
+        if self._deleting:
+            return
+        names = [m.name for m in self._ctx.fleet.machines.values() if m.deleting][:DELETE_LIMIT]
+        if not names:
+            return
+        self._deleting = True
+
+        def deleted(done: bool) -> None:
+            self._deleting = False
+            if done:
+                for name in names:
+                    machine = self._ctx.fleet.machines.get(name)
+                    if machine is not None:
+                        self._gone(machine)
+
+        self._ctx.edges.delete(names, deleted)
+
+    def _gone(self, machine: Machine) -> None:
+        recorded = machine.recorded or machine.record_asked
+        self._attempts.gone(machine)
+        self._on_gone(machine)
+        if recorded:
+            self._ctx.edges.commit({}, [remove(MACHINE + machine.name)], lambda done: None)
+
+    # -- how many ------------------------------------------------------------------------------------
+
+    def provide(self, allows: Callable[[str], int]) -> None:
+        """Rent what is missing, and return what is not needed."""
+        ctx = self._ctx
+        now = ctx.clock()
+        self._settle()
+        if now < self._next_at or not ctx.builds:
+            return
+        self._next_at = now + ctx.times.report_s
+        spaces = self._spaces(now)
+        demands = self._demands(now)
+        purchases = self._provisioning.decide(ctx.builds, spaces, demands, now)
+        for purchase in purchases:
+            self._buy(purchase)
+        self._return(spaces, now)
+
+    def _spaces(self, now: float) -> list[Space]:
+        ctx = self._ctx
+        spaces = []
+        for machine in ctx.fleet.machines.values():
+            late = not machine.up and now - machine.since > 2 * machine.build.startupS
+            if machine.deleting or machine.leaving or machine.recall_at is not None or late:
+                continue
+            if machine.up and now - machine.last_report > ctx.times.silent_s and machine.heard:
+                continue
+            spaces.append(space_of(machine))
+        for hire in self._hires.values():
+            build = ctx.builds.get(hire.build)
+            if hire.boxes is None and build is not None:
+                spaces += [
+                    Space(None, build, hire.zone, hire.spot, room_of(build)) for _ in range(hire.number)
+                ]
+        return spaces
+
+    def _demands(self, now: float) -> list[Demand]:
+        ctx = self._ctx
+        demands = []
+        for job in ctx.fleet.jobs.values():
+            if job.pending > 0 and not job.over and job.failures < 4:
+                demands.append(demand_of(job, job.pending))
+        boots = [build.startupS for build in ctx.builds.values()]
+        ahead = sum(boots) / len(boots) + ctx.times.report_s
+        return demands + self.arrivals.forecast(now, ahead, self._options.headroom)
+
+    def _return(self, spaces: list[Space], now: float) -> None:
+        for space in spaces:
+            machine = space.machine
+            if machine is None:
+                continue
+            if space.used or machine.attempts or not machine.up or machine.name in self._attempts.unheard:
+                self._needed[machine.name] = now
+            elif (
+                machine.used == NOTHING
+                and machine.heard
+                and now - self._needed.setdefault(machine.name, now)
+                > self._provisioning.keep_s(machine.build)
+            ):
+                machine.deleting = True
+                self._needed.pop(machine.name, None)
--- /dev/null
+++ b/src/poppyhold/http.py
@@ -0,0 +1,205 @@
+"""HTTP/1.1: the threaded server of this node and a pooled client with deadlines."""
+
+from __future__ import annotations
+
+import http.client
+import http.server
+import logging
+import socket
+import socketserver
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+from poppyhold.messages import BODY_LIMIT, Malformed, decode, encode
+
+log = logging.getLogger(__name__)
+
+Answer = tuple[int, dict[str, Any], dict[str, str]]
+Route = Callable[[str, str, bytes], Answer]
+
+_IDLE_S = 65.0
+
+
+def answer(status: int, body: dict[str, Any] | None = None, **headers: str) -> Answer:
+    """Build an answer; header names are written with underscores."""
+    return status, body or {}, {k.replace("_", "-"): v for k, v in headers.items()}
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    timeout = _IDLE_S
+    disable_nagle_algorithm = True
+    server: Server
+
+    def do_GET(self) -> None:
+        self._serve()
+
+    def do_POST(self) -> None:
+        self._serve()
+
+    do_PUT = do_DELETE = do_PATCH = do_HEAD = do_OPTIONS = do_GET
+
+    def _serve(self) -> None:
+        try:
+            length = int(self.headers.get("Content-Length") or 0)
+        except ValueError:
+            length = -1
+        if length < 0 or length > BODY_LIMIT or self.headers.get("Transfer-Encoding"):
+            self.close_connection = True
+            self._send(answer(413 if length > BODY_LIMIT else 400, {"error": "body"}))
+            return
+        body = self.rfile.read(length) if length else b""
+        if len(body) < length:
+            self.close_connection = True
+            return
+        try:
+            result = self.server.route(self.command, self.path, body)
+        except Exception:
+            # Nothing that a peer sends may end the process or go unanswered.
+            log.exception("%s %s", self.command, self.path)
+            result = answer(503, {"error": "internal"}, Retry_After="1")
+        self._send(result)
+
+    def _send(self, result: Answer) -> None:
+        status, body, headers = result
+        payload = encode(body)
+        lines = [
+            f"HTTP/1.1 {status} {http.client.responses.get(status, '')}",
+            "Content-Type: application/cbor",
+            f"Content-Length: {len(payload)}",
+            *(f"{name}: {value}" for name, value in headers.items()),
+        ]
+        if self.close_connection:
+            lines.append("Connection: close")
+        self.wfile.write("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + payload)
+
+    def log_message(self, format: str, *args: Any) -> None:
+        log.debug("%s %s", self.address_string(), format % args)
+
+    def address_string(self) -> str:
+        return str(self.client_address[0])
+
+
+class Server(socketserver.ThreadingMixIn, http.server.HTTPServer):
+    """One thread per connection, at most ``limit`` connections."""
+
+    daemon_threads = True
+    block_on_close = False
+    allow_reuse_address = True
+    request_queue_size = 128
+
+    def __init__(self, address: tuple[str, int], route: Route, limit: int) -> None:
+        self.route = route
+        self._limit = limit
+        self._open: set[socket.socket] = set()
+        self._lock = threading.Lock()
+        super().__init__(address, _Handler)
+
+    def server_bind(self) -> None:
+        # HTTPServer looks up the host's name here; these networks have no name look-ups.
+        socketserver.TCPServer.server_bind(self)
+        self.server_name, self.server_port = str(self.server_address[0]), int(self.server_address[1])
+
+    def verify_request(self, request: Any, client_address: Any) -> bool:
+        with self._lock:
+            if len(self._open) >= self._limit:
+                return False
+            self._open.add(request)
+        return True
+
+    def shutdown_request(self, request: Any) -> None:
+        with self._lock:
+            self._open.discard(request)
+        super().shutdown_request(request)
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        log.debug("connection of %s ended", client_address, exc_info=True)
+
+    def close_all(self) -> None:
+        """Stop accepting and end every connection."""
+        self.shutdown()
+        self.server_close()
+        with self._lock:
+            connections = list(self._open)
+        for connection in connections:
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                continue
+
+
+class NotSent(Exception):
+    """The request certainly did not reach the other side."""
+
+
+class NoAnswer(Exception):
+    """No answer came; the request may have been or may still be carried out."""
+
+
+class Client:
+    """Connections to one address, kept open between requests and never pipelined."""
+
+    def __init__(self, host: str, port: int, keep: int = 4) -> None:
+        self._host, self._port, self._keep = host, port, keep
+        self._idle: list[tuple[http.client.HTTPConnection, float]] = []
+        self._lock = threading.Lock()
+        self._closed = False
+
+    def request(
+        self, method: str, path: str, body: dict[str, Any] | None = None, *, timeout: float
+    ) -> tuple[int, dict[str, Any]]:
+        """Send one request and wait for its answer, at most ``timeout`` seconds in all."""
+        deadline = time.monotonic() + timeout
+        connection = self._take()
+        if connection is None:
+            connection = http.client.HTTPConnection(self._host, self._port, timeout=timeout)
+            try:
+                connection.connect()
+            except OSError as error:
+                connection.close()
+                raise NotSent(str(error)) from error
+        try:
+            assert connection.sock is not None
+            connection.sock.settimeout(max(0.01, deadline - time.monotonic()))
+            payload = encode(body) if body is not None else None
+            connection.request(method, path, payload, {"Content-Type": "application/cbor"})
+            response = connection.getresponse()
+            data = response.read()
+        except (OSError, http.client.HTTPException) as error:
+            connection.close()
+            raise NoAnswer(str(error) or type(error).__name__) from error
+        if response.will_close:
+            connection.close()
+        else:
+            self._give(connection)
+        try:
+            return response.status, decode(data) if data else {}
+        except Malformed as error:
+            raise NoAnswer(str(error)) from error
+
+    def _take(self) -> http.client.HTTPConnection | None:
+        now = time.monotonic()
+        with self._lock:
+            while self._idle:
+                connection, since = self._idle.pop()
+                if now - since < _IDLE_S / 4:
+                    return connection
+                connection.close()
+        return None
+
+    def _give(self, connection: http.client.HTTPConnection) -> None:
+        with self._lock:
+            if len(self._idle) < self._keep and not self._closed:
+                self._idle.append((connection, time.monotonic()))
+                return
+        connection.close()
+
+    def close(self) -> None:
+        """Close what is kept open."""
+        with self._lock:
+            self._closed = True
+            idle, self._idle = self._idle, []
+        for connection, _ in idle:
+            connection.close()
--- /dev/null
+++ b/src/poppyhold/peers.py
@@ -0,0 +1,197 @@
+"""What controllers tell one another: length-framed tagged tuples (msgspec arrays)."""
+
+from __future__ import annotations
+
+import logging
+import socket
+import struct
+import threading
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
+
+from poppyhold.settings import Known, Settings, split_address
+
+log = logging.getLogger(__name__)
+
+_FRAME = struct.Struct("!I")
+_FRAME_LIMIT = 1 << 20
+
+Count = tuple[str, int, int]
+
+
+class Ping(msgspec.Struct, frozen=True, array_like=True, tag="ping"):
+    """What a controller is and knows, sent to each other one."""
+
+    member: str
+    baton: int
+    leading: bool
+    # Seconds since the state service last answered the sender.
+    state_age_s: float
+    counts: list[Count] = []
+
+
+class Pong(msgspec.Struct, frozen=True, array_like=True, tag="pong"):
+    """The other one's answer."""
+
+    member: str
+    baton: int
+    leading: bool
+    state_age_s: float
+
+
+Message = Ping | Pong
+_decoder = msgspec.msgpack.Decoder(Message)
+
+
+def send(connection: socket.socket, message: Message) -> None:
+    """Send one frame."""
+    body = msgspec.msgpack.encode(message)
+    connection.sendall(_FRAME.pack(len(body)) + body)
+
+
+def receive(connection: socket.socket) -> Message:
+    """Receive one frame; a malformed one raises ValueError, and the connection must end."""
+    size = _FRAME.unpack(_read(connection, _FRAME.size))[0]
+    if size > _FRAME_LIMIT:
+        raise ValueError("frame is too large")
+    message: Message = _decoder.decode(_read(connection, size))
+    return message
+
+
+def _read(connection: socket.socket, size: int) -> bytes:
+    data = bytearray()
+    while len(data) < size:
+        part = connection.recv(size - len(data))
+        if not part:
+            raise ConnectionError("closed")
+        data += part
+    return bytes(data)
+
+
+class PeerView(NamedTuple):
+    """What we know of another controller."""
+
+    # It had not told a user anything that we may not know, up to this moment of our clock.
+    blind_until: float
+    # Moment of the last answer, and whether it had the state service then.
+    heard_at: float
+    has_state: bool
+
+
+class Peers:
+    """Dials every other controller, and answers those that dial us."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        describe: Callable[[], Ping],
+        counts: Callable[[], dict[str, tuple[int, int]]],
+        synced_at: Callable[[], float],
+        on_ping: Callable[[Ping], None],
+        on_pong: Callable[[Pong], None],
+        on_refused: Callable[[str], None],
+    ) -> None:
+        self._settings = settings
+        self._describe, self._counts, self._synced_at = describe, counts, synced_at
+        self._on_ping, self._on_pong, self._on_refused = on_ping, on_pong, on_refused
+        workers = settings.settings.workers
+        self._every_s = workers.report_s / 2
+        self._timeout_s = workers.lease_s / 10
+        self.views: dict[str, PeerView] = {}
+        self._stop = threading.Event()
+        self._listener = socket.create_server(split_address(settings.back), backlog=16)
+        self._threads = [threading.Thread(target=self._accept, name="peers", daemon=True)]
+        for known in settings.known:
+            self._threads.append(
+                threading.Thread(target=self._dial, args=(known,), name=f"peer {known.member}", daemon=True)
+            )
+
+    def start(self) -> None:
+        """Start the threads."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """End them."""
+        self._stop.set()
+        self._listener.close()
+
+    def _accept(self) -> None:
+        slots = threading.BoundedSemaphore(4 * len(self._settings.known) + 4)
+        while not self._stop.is_set():
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                if self._stop.wait(self._timeout_s / 10):
+                    return
+                continue
+            if not slots.acquire(blocking=False):
+                connection.close()
+                continue
+            threading.Thread(target=self._serve, args=(connection, slots), name="peer", daemon=True).start()
+
+    def _serve(self, connection: socket.socket, slots: threading.BoundedSemaphore) -> None:
+        try:
+            with connection:
+                connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                connection.settimeout(max(10 * self._timeout_s, 4 * self._every_s))
+                while not self._stop.is_set():
+                    message = receive(connection)
+                    if not isinstance(message, Ping):
+                        raise ValueError("not a ping")
+                    self._on_ping(message)
+                    us = self._describe()
+                    send(connection, Pong(us.member, us.baton, us.leading, us.state_age_s))
+        except (OSError, ValueError, msgspec.MsgspecError) as error:
+            log.debug("peer connection: %s", error)
+        except Exception:
+            log.exception("peer connection")
+        finally:
+            slots.release()
+
+    def _dial(self, known: Known) -> None:
+        address = split_address(known.address)
+        while not self._stop.is_set():
+            try:
+                with socket.create_connection(address, timeout=self._timeout_s) as connection:
+                    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                    self._talk(connection, known)
+            except (OSError, ValueError, msgspec.MsgspecError) as error:
+                log.debug("peer %s: %s", known.member, error)
+                view = self.views.get(known.member)
+                if view is not None:
+                    self.views[known.member] = view._replace(heard_at=float("-inf"))
+                if isinstance(error, ConnectionRefusedError):
+                    self._on_refused(known.member)
+            except Exception:
+                log.exception("peer %s", known.member)
+            self._stop.wait(self._every_s / 2)
+
+    def _talk(self, connection: socket.socket, known: Known) -> None:
+        sent: dict[str, tuple[int, int]] = {}
+        while not self._stop.is_set():
+            counts = self._counts()
+            changed = [(job, *pair) for job, pair in counts.items() if sent.get(job) != pair]
+            sent = counts
+            asked = time.monotonic()
+            send(connection, msgspec.structs.replace(self._describe(), counts=changed))
+            message = receive(connection)
+            if not isinstance(message, Pong):
+                raise ValueError("not a pong")
+            self._note(known.member, message, asked)
+            self._on_pong(message)
+            self._stop.wait(self._every_s)
+
+    def _note(self, member: str, pong: Pong, asked: float) -> None:
+        old = self.views.get(member)
+        blind_until = old.blind_until if old else float("-inf")
+        answered = time.monotonic()
+        # Its last word from the state service came at the latest at `answered - age`. If we knew
+        # everything up to then, it has told nobody anything new until it got our question.
+        if answered - pong.state_age_s <= self._synced_at():
+            blind_until = asked
+        has_state = pong.state_age_s < 4 * self._timeout_s
+        self.views[member] = PeerView(blind_until, answered, has_state)
--- /dev/null
+++ b/src/poppyhold/placement.py
@@ -0,0 +1,203 @@
+"""Which machine a task starts on, and what has to make room for it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from poppyhold.fleet import Attempt, Job, Machine, Room, fits, plus, zone_limit
+from poppyhold.settings import Team
+
+
+@dataclass
+class Choice:
+    """A machine for a task, with the attempts that must go first."""
+
+    machine: Machine
+    victims: list[Attempt] = field(default_factory=list)
+
+
+class Quotas:
+    """The teams' limits and guarantees."""
+
+    def __init__(self, teams: Iterable[Team]) -> None:
+        self._teams = {team.name: team for team in teams}
+
+    def known(self, team: str) -> bool:
+        """Whether the team exists."""
+        return team in self._teams
+
+    def ever_fits(self, team: str, need: Room, tasks: int) -> bool:
+        """Whether so many tasks stay within the team's limit."""
+        limits = self._teams[team]
+        return not (
+            (limits.cpus_max > 0 and need[0] * tasks > limits.cpus_max + 1e-6)
+            or (limits.gpus_max > 0 and need[1] * tasks > limits.gpus_max + 1e-6)
+        )
+
+    def allows(self, team: str, used: tuple[float, float], need: Room) -> bool:
+        """Whether one more task stays within the team's limit."""
+        limits = self._teams.get(team)
+        if limits is None:
+            return False
+        return not (
+            (limits.cpus_max > 0 and used[0] + need[0] > limits.cpus_max + 1e-6)
+            or (limits.gpus_max > 0 and used[1] + need[1] > limits.gpus_max + 1e-6)
+        )
+
+    def within_guarantee(self, team: str, cpus: float, gpus: float) -> bool:
+        """Whether an amount fits into what the team is guaranteed."""
+        limits = self._teams.get(team)
+        if limits is None:
+            return False
+        return (
+            (gpus > 0 or cpus > 0)
+            and (gpus <= limits.gpus + 1e-6 if limits.gpus > 0 or limits.cpus <= 0 else True)
+            and (cpus <= limits.cpus + 1e-6 if limits.cpus > 0 else True)
+        )
+
+    def mark_guaranteed(self, jobs: Iterable[Job]) -> None:
+        """Mark the jobs that fit into their team's guarantee with its earlier unfinished jobs."""
+        sums: dict[str, list[float]] = {}
+        for job in sorted(jobs, key=lambda job: (job.at, job.id)):
+            total = sums.setdefault(job.spec.crew, [0.0, 0.0])
+            total[0] += job.need[0] * job.spec.chores
+            total[1] += job.need[1] * job.spec.chores
+            job.guaranteed = self.within_guarantee(job.spec.crew, total[0], total[1])
+
+
+def may_use(job: Job, machine: Machine) -> bool:
+    """Whether the job's own terms allow the machine, other tasks aside."""
+    spec = job.spec
+    return (
+        (spec.builds is None or machine.build.name in spec.builds)
+        and (spec.paddock is None or machine.zone == spec.paddock)
+        and (spec.loaners or not machine.spot)
+    )
+
+
+def zone_allows(job: Job, zone: str) -> bool:
+    """Whether one more task of the job may be in the zone, given all that may be on a machine."""
+    if job.spec.samePlace and any(count > 0 and held != zone for held, count in job.zones.items()):
+        return False
+    return job.zones.get(zone, 0) < zone_limit(job.spec)
+
+
+def fetch_wait(machine: Machine, job: Job) -> float:
+    """Seconds until the machine has the job's image, as far as we can know."""
+    image = job.spec.bundle
+    if image in machine.images:
+        return 0.0
+    rate = max(machine.build.pullGbPerS, 1e-3)
+    pulling: dict[str, float] = {}
+    for attempt in machine.attempts.values():
+        if attempt.status in ("sent", "pulling") and attempt.job.spec.bundle not in machine.images:
+            pulling[attempt.job.spec.bundle] = attempt.job.spec.sizeGb
+    already = image in pulling
+    pulling[image] = job.spec.sizeGb
+    # Fetches share the rate; one that has begun is on average half done.
+    return sum(pulling.values()) / rate * (0.5 if already else 1.0)
+
+
+class Placement:
+    """Chooses machines by the wait for their image, then by how they pack."""
+
+    def __init__(self, quotas: Quotas, boot_s: Callable[[], float]) -> None:
+        self._quotas = quotas
+        self._boot_s = boot_s
+
+    def best(
+        self, job: Job, machines: Iterable[Machine], reserved: dict[str, Room] | None = None
+    ) -> Choice | None:
+        """The best machine with free room, leaving what is reserved for plans."""
+        best: Machine | None = None
+        best_score = float("inf")
+        allowed_zones: dict[str, bool] = {}
+        for machine in machines:
+            free = machine.free
+            if reserved and machine.name in reserved:
+                free = plus(free, reserved[machine.name], -1.0)
+            if not fits(job.need, free) or not may_use(job, machine):
+                continue
+            zone = machine.zone
+            if zone not in allowed_zones:
+                allowed_zones[zone] = zone_allows(job, zone)
+            if not allowed_zones[zone]:
+                continue
+            score = self._score(job, machine, free)
+            if score < best_score:
+                best, best_score = machine, score
+        return None if best is None else Choice(best)
+
+    def _score(self, job: Job, machine: Machine, free: Room) -> float:
+        """Seconds that a placement costs; what is no wait is weighed as parts of a boot time."""
+        boot = machine.build.startupS
+        score = fetch_wait(machine, job)
+        # Packing: machines that are nearly full first, so that others empty.
+        capacity = machine.capacity
+        left = max(
+            ((free[i] - job.need[i]) / capacity[i] for i in range(3) if capacity[i] > 0 and job.need[i] > 0),
+            default=0.0,
+        )
+        score += left * boot * 0.02
+        # Work that may run on spot machines leaves the ordinary ones to work that may not.
+        if job.spec.loaners and not machine.spot:
+            score += boot * 0.2
+        # Replicas on one machine are lost together.
+        if job.service and job.spec.chores > 1:
+            score += boot * 0.05 * sum(1 for attempt in machine.attempts.values() if attempt.job is job)
+        return score
+
+    def preempt(self, job: Job, machines: Iterable[Machine], used: dict[str, list[float]]) -> Choice | None:
+        """The machine where the least is lost by making room, if preemption is allowed at all."""
+        best: Choice | None = None
+        best_score = float("inf")
+        for machine in machines:
+            if not may_use(job, machine) or not zone_allows(job, machine.zone):
+                continue
+            victims = self._victims(job, machine, used)
+            if victims is None:
+                continue
+            lost = sum(self._loss(victim) for victim in victims)
+            score = fetch_wait(machine, job) + lost * 0.05 + len(victims) * 0.5
+            if score < best_score:
+                best, best_score = Choice(machine, victims), score
+        return best
+
+    @staticmethod
+    def _loss(victim: Attempt) -> float:
+        """Work lost with a victim, roughly: what it ran since it began or last saved."""
+        if victim.running_at is None:
+            return 0.0
+        spec = victim.job.spec
+        return spec.bookmarkS / 2 if spec.bookmarkS > 0 else spec.guessS / 2
+
+    def _victims(self, job: Job, machine: Machine, used: dict[str, list[float]]) -> list[Attempt] | None:
+        free = machine.free
+        if fits(job.need, free):
+            return None
+        candidates = [
+            attempt
+            for attempt in machine.attempts.values()
+            if attempt.status in ("pulling", "running")
+            and attempt.stopping_at is None
+            and self._may_preempt(job, attempt, used)
+        ]
+        candidates.sort(key=lambda a: (-a.job.rank, self._loss(a), a.sent_at))
+        chosen: list[Attempt] = []
+        for attempt in candidates:
+            free = plus(free, attempt.job.need)
+            chosen.append(attempt)
+            if fits(job.need, free):
+                return chosen
+        return None
+
+    def _may_preempt(self, job: Job, victim: Attempt, used: dict[str, list[float]]) -> bool:
+        other = victim.job
+        if other.rank > job.rank:
+            return True
+        # Borrowed room goes back to a team that is within its guarantee.
+        if other.spec.crew == job.spec.crew or not job.guaranteed or other.guaranteed:
+            return False
+        cpus, gpus = used.get(other.spec.crew, [0.0, 0.0])
+        return not self._quotas.within_guarantee(other.spec.crew, cpus, gpus)
--- /dev/null
+++ b/src/poppyhold/planner.py
@@ -0,0 +1,250 @@
+"""The best plan of a job: a DP over slots per end slot, and a greedy fill of each (OASiS, Alg. 2)."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from poppyhold.fleet import Job, Room, how_many, zone_limit
+from poppyhold.ledger import Ledger, Row
+from poppyhold.pricing import Pricing, shares_of
+
+INFINITE = float("inf")
+
+
+@dataclass
+class Plan:
+    """Tasks per slot and machine, with the payoff of booking them."""
+
+    payoff: float
+    starts: dict[int, dict[str, int]] = field(default_factory=dict)
+
+    def zones(self, ledger: Ledger) -> dict[int, dict[str, int]]:
+        """Task counts per slot and zone: what is durable of a plan."""
+        result: dict[int, dict[str, int]] = {}
+        for slot, machines in self.starts.items():
+            counts = result.setdefault(slot, {})
+            for name, number in machines.items():
+                zone = ledger.rows[name].zone
+                counts[zone] = counts.get(zone, 0) + number
+        return result
+
+
+@dataclass(frozen=True)
+class Offer:
+    """Room for up to ``most`` tasks on a machine, at a price for each."""
+
+    cost: float
+    machine: str
+    zone: str
+    most: int
+
+
+class Planner:
+    """Computes plans against a ledger; it changes nothing."""
+
+    def __init__(self, pricing: Pricing, ledger: Ledger, slot_s: float, units: int) -> None:
+        self._pricing, self._ledger, self._slot_s, self._units = pricing, ledger, slot_s, units
+
+    def span(self, estimate_s: float) -> int:
+        """Slots that a task with this estimate touches when it starts at a slot's begin."""
+        return max(1, math.ceil(estimate_s / self._slot_s - 1e-9))
+
+    def plan(self, job: Job, tasks: int, estimate_s: float, now: float) -> Plan | None:
+        """The plan with the highest payoff, or None if there is no room for the job at all."""
+        rows = [(name, row) for name, row in self._ledger.rows.items() if self._allowed(job, row)]
+        if not rows or tasks <= 0:
+            return None
+        shares = max(shares_of(job.need, row.capacity) for _, row in rows)
+        best: Plan | None = None
+        for zone in self._zones(job, rows):
+            chosen = [pair for pair in rows if zone is None or pair[1].zone == zone]
+            found = (
+                self._plan_service(job, tasks, chosen, shares)
+                if job.service
+                else self._plan_array(job, tasks, estimate_s, now, chosen, shares)
+            )
+            if found is not None and (best is None or found.payoff > best.payoff):
+                best = found
+        return best
+
+    def _allowed(self, job: Job, row: Row) -> bool:
+        spec = job.spec
+        return (
+            (spec.builds is None or row.type_name in spec.builds)
+            and (spec.paddock is None or row.zone == spec.paddock)
+            and (spec.loaners or not row.spot)
+        )
+
+    def _zones(self, job: Job, rows: list[tuple[str, Row]]) -> list[str | None]:
+        if not job.spec.samePlace:
+            return [None]
+        held = [zone for zone, count in job.zones.items() if count > 0]
+        found: list[str | None] = []
+        found += held or sorted({row.zone for _, row in rows})
+        return found
+
+    def offers(
+        self, job: Job, rows: list[tuple[str, Row]], first: int, last: int, tasks: int, part: float = 1.0
+    ) -> list[Offer]:
+        """Room for tasks that hold all the slots from ``first`` to ``last``, cheapest first.
+
+        ``part`` is the part of a slot that a task takes, where several fit one after another.
+        """
+        need = job.need if part == 1.0 else (job.need[0] * part, job.need[1] * part, job.need[2] * part)
+        found = []
+        memo: dict[tuple[Room, Room], float] = {}
+        for name, row in rows:
+            most = tasks
+            cost = 0.0
+            standing = last - first + 1
+            if row.slots:
+                for slot in range(first, last + 1):
+                    booked = row.slots.get(slot)
+                    if booked is None:
+                        continue
+                    standing -= 1
+                    most = how_many(need, row.free(slot), most)
+                    if not most:
+                        break
+                    cost += self._pricing.cost(need, row.booked(slot), row.capacity)
+            if standing and most:
+                most = how_many(
+                    need,
+                    (
+                        row.capacity[0] - row.standing[0],
+                        row.capacity[1] - row.standing[1],
+                        row.capacity[2] - row.standing[2],
+                    ),
+                    most,
+                )
+                if most:
+                    key = (row.standing, row.capacity)
+                    each = memo.get(key)
+                    if each is None:
+                        each = memo[key] = self._pricing.cost(need, row.standing, row.capacity)
+                    cost += each * standing
+            if most:
+                found.append(Offer(cost, name, row.zone, most))
+        found.sort(key=lambda offer: (offer.cost, offer.machine))
+        return found
+
+    def fill(self, job: Job, offers: list[Offer], tasks: int, held: dict[str, int]) -> dict[str, int]:
+        """Greedy fill, cheapest first, within what one zone may hold; may be less than asked."""
+        limit = zone_limit(job.spec)
+        zones = dict(held)
+        chosen: dict[str, int] = {}
+        for offer in offers:
+            if tasks <= 0:
+                break
+            take = min(tasks, offer.most, limit - zones.get(offer.zone, 0))
+            if take > 0:
+                chosen[offer.machine] = take
+                zones[offer.zone] = zones.get(offer.zone, 0) + take
+                tasks -= take
+        return chosen
+
+    def _plan_service(self, job: Job, tasks: int, rows: list[tuple[str, Row]], shares: float) -> Plan | None:
+        first, horizon = self._ledger.first, self._ledger.horizon
+        offers = self.offers(job, rows, first, first + horizon - 1, tasks)
+        chosen = self.fill(job, offers, tasks, job.zones)
+        if sum(chosen.values()) < tasks:
+            return None
+        price = {offer.machine: offer.cost for offer in offers}
+        cost = sum(price[name] * number for name, number in chosen.items())
+        value = self._pricing.weights[job.rank] * shares * tasks * horizon
+        return Plan(value - cost, {first: chosen})
+
+    def _plan_array(
+        self,
+        job: Job,
+        tasks: int,
+        estimate_s: float,
+        now: float,
+        rows: list[tuple[str, Row]],
+        shares: float,
+    ) -> Plan | None:
+        first, horizon = self._ledger.first, self._ledger.horizon
+        span = self.span(estimate_s)
+        part = min(1.0, max(estimate_s / self._slot_s, 0.01)) if span == 1 else 1.0
+        unit = max(1, math.ceil(tasks / self._units))
+        steps = math.ceil(tasks / unit)
+        # What lies beyond the horizon is carried forward: the last slots take a cut-off span.
+        tables: list[list[float]] = []
+        offers: list[list[Offer]] = []
+        for slot in range(first, first + horizon):
+            last = min(slot + span - 1, first + horizon - 1)
+            offered = self.offers(job, rows, slot, last, tasks, part)
+            offers.append(offered)
+            tables.append(self._costs(job, offered, tasks, unit, steps))
+        # cheapest[d]: least cost of starting d units up to the slot looked at; choices recover them.
+        cheapest = [0.0] + [INFINITE] * steps
+        choices: list[list[int]] = []
+        best_payoff, best_end = -INFINITE, -1
+        for offset, table in enumerate(tables):
+            following = list(cheapest)
+            choice = [0] * (steps + 1)
+            for done in range(1, steps + 1):
+                for here in range(1, done + 1):
+                    cost = table[here]
+                    if cost == INFINITE:
+                        break
+                    total = cheapest[done - here] + cost
+                    if total < following[done]:
+                        following[done], choice[done] = total, here
+            cheapest = following
+            choices.append(choice)
+            if cheapest[steps] < INFINITE and choice[steps]:
+                end_at = now + (offset + max(part, span)) * self._slot_s
+                if offset == 0:
+                    end_at = now + estimate_s
+                value = self._pricing.value(job, shares * tasks * span * part, end_at, self._slot_s)
+                payoff = value - cheapest[steps]
+                if payoff > best_payoff:
+                    best_payoff, best_end = payoff, offset
+        if best_end < 0:
+            return None
+        starts: dict[int, dict[str, int]] = {}
+        left = steps
+        for offset in range(best_end, -1, -1):
+            here = choices[offset][left]
+            if here:
+                number = min(here * unit, tasks)
+                chosen = self.fill(job, offers[offset], number, job.zones)
+                starts[first + offset] = chosen
+                left -= here
+        self._trim(starts, tasks)
+        return Plan(best_payoff, starts)
+
+    def _costs(self, job: Job, offers: list[Offer], tasks: int, unit: int, steps: int) -> list[float]:
+        """Cost of starting 0, 1, ... units in a slot; infinite where they don't fit."""
+        costs = [0.0] + [INFINITE] * steps
+        chosen = self.fill(job, offers, tasks, job.zones)
+        price = {offer.machine: offer.cost for offer in offers}
+        total, placed, step = 0.0, 0, 1
+        for name, chosen_here in chosen.items():
+            number = chosen_here
+            while number and step <= steps:
+                goal = min(step * unit, tasks)
+                take = min(number, goal - placed)
+                total += take * price[name]
+                placed += take
+                number -= take
+                if placed == goal:
+                    costs[step] = total
+                    step += 1
+        return costs
+
+    @staticmethod
+    def _trim(starts: dict[int, dict[str, int]], tasks: int) -> None:
+        """Whole units may add up to more than the tasks: take the excess from the last slot."""
+        excess = sum(sum(machines.values()) for machines in starts.values()) - tasks
+        for slot in sorted(starts, reverse=True):
+            for name in list(starts[slot]):
+                if excess <= 0:
+                    return
+                cut = min(excess, starts[slot][name])
+                starts[slot][name] -= cut
+                excess -= cut
+                if not starts[slot][name]:
+                    del starts[slot][name]
--- /dev/null
+++ b/src/poppyhold/pricing.py
@@ -0,0 +1,48 @@
+"""Prices of booked room, and what a job is worth (OASiS, section IV-B, as DESIGN adapts it)."""
+
+from __future__ import annotations
+
+from poppyhold.fleet import Job, Room
+from poppyhold.options_pb2 import Design
+
+
+class Pricing:
+    """Price functions P(g) = L * (U / L) ** (g / c), and values f(end - arrival)."""
+
+    def __init__(self, design: Design) -> None:
+        self.weights = (
+            design.weight_critical,
+            design.weight_high,
+            design.weight_standard,
+            design.weight_best_effort,
+        )
+        self.low = min(self.weights) * design.lowest_price
+        self.high = max(self.weights)
+        self._ratio = self.high / self.low
+        self._late = design.late_value
+
+    def price(self, booked: float, capacity: float) -> float:
+        """Price of one machine's share of a resource in a slot, L when free and U when full."""
+        if capacity <= 0:
+            return self.high
+        return float(self.low * self._ratio ** min(1.0, max(0.0, booked / capacity)))
+
+    def cost(self, need: Room, booked: Room, capacity: Room) -> float:
+        """Priced room of one task in one slot: shares of the machine times their prices."""
+        total = 0.0
+        for want, used, all_ in zip(need, booked, capacity, strict=True):
+            if want > 0:
+                total += self.price(used, all_) * want / all_
+        return total
+
+    def value(self, job: Job, shares: float, end_at: float, slot_s: float) -> float:
+        """Value of ``shares`` machine shares booked for a job that ends then."""
+        value = self.weights[job.rank] * shares
+        if job.due_at is not None and end_at > job.due_at:
+            value *= self._late ** ((end_at - job.due_at) / slot_s)
+        return value
+
+
+def shares_of(need: Room, capacity: Room) -> float:
+    """Machine shares of one task, summed over resources."""
+    return sum(want / all_ for want, all_ in zip(need, capacity, strict=True) if want > 0 and all_ > 0)
--- /dev/null
+++ b/src/poppyhold/provisioning.py
@@ -0,0 +1,221 @@
+"""Which machines to rent and which to give back."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from poppyhold.fleet import Job, Machine, Room, allowed_builds, fits, how_many, plus, room_of, zone_limit
+from poppyhold.messages import Build, Submission
+from poppyhold.options_pb2 import Provisioning as ProvisioningOptions
+from poppyhold.pricing import shares_of
+
+HIRE_LIMIT = 50
+
+
+@dataclass(slots=True)
+class Demand:
+    """Tasks of one shape that need room."""
+
+    spec: Submission
+    need: Room
+    tasks: int
+    zones: dict[str, int]
+    forecast: bool = False
+
+
+@dataclass(slots=True)
+class Space:
+    """Free room of one machine that is held or coming."""
+
+    machine: Machine | None
+    build: Build
+    zone: str
+    spot: bool
+    free: Room
+    used: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Purchase:
+    """Machines to rent."""
+
+    build: str
+    zone: str
+    spot: bool
+    number: int
+
+
+class Arrivals:
+    """What has been submitted lately, by class: the forecast of what comes while a machine boots."""
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._seen: deque[tuple[float, Submission]] = deque()
+        self._began_at: float | None = None
+
+    def note(self, now: float, spec: Submission) -> None:
+        """A job was submitted."""
+        if self._began_at is None:
+            self._began_at = now
+        self._seen.append((now, spec))
+
+    def forecast(self, now: float, ahead_s: float, factor: float) -> list[Demand]:
+        """Tasks to keep room for: one deviation of what arrives in ``ahead_s``, times ``factor``."""
+        while self._seen and self._seen[0][0] < now - self._window_s:
+            self._seen.popleft()
+        if self._began_at is None:
+            return []
+        observed = min(self._window_s, max(ahead_s, now - self._began_at))
+        groups: dict[tuple[str, Room], list[Submission]] = {}
+        for _, spec in self._seen:
+            groups.setdefault((spec.lot, (spec.cpus, spec.accelerators, spec.memGb)), []).append(spec)
+        demands = []
+        for (_, need), specs in groups.items():
+            squares = sum(float(spec.chores) ** 2 for spec in specs) * ahead_s / observed
+            tasks = math.ceil(factor * math.sqrt(squares))
+            sample = specs[-1]
+            demands.append(Demand(sample, need, tasks, {}, forecast=True))
+        return demands
+
+
+class Provisioning:
+    """Fits all demand into the room that is held or coming, and rents what is missing."""
+
+    def __init__(self, options: ProvisioningOptions) -> None:
+        self._options = options
+        # (build, zone, spot) -> until when the cloud is not asked again.
+        self.refused_until: dict[tuple[str, str, bool], float] = {}
+
+    def keep_s(self, build: Build) -> float:
+        """How long an unneeded machine is kept."""
+        return build.startupS * self._options.keep_boots
+
+    def give_up_s(self, build: Build) -> float:
+        """How long a machine may boot."""
+        return build.startupS * self._options.give_up_boots
+
+    def decide(
+        self,
+        builds: dict[str, Build],
+        spaces: list[Space],
+        demands: Iterable[Demand],
+        now: float,
+    ) -> list[Purchase]:
+        """Mark the spaces that demand uses, and say what to rent for the rest."""
+        missing: list[Demand] = []
+        # Largest tasks first, and real ones before forecasts of the same size.
+        for demand in sorted(demands, key=lambda d: (d.forecast, -d.need[1], -d.need[0])):
+            left = self._fit(demand, spaces)
+            if left:
+                demand.tasks = left
+                missing.append(demand)
+        bought: dict[tuple[str, str, bool], int] = {}
+        for demand in missing:
+            self._buy(demand, builds, spaces, bought, now)
+        return [Purchase(build, zone, spot, min(n, HIRE_LIMIT)) for (build, zone, spot), n in bought.items()]
+
+    def _fit(self, demand: Demand, spaces: list[Space]) -> int:
+        left = demand.tasks
+        limit = zone_limit(demand.spec)
+        fitting = [
+            space for space in spaces if self._allowed(demand.spec, space.build, space.zone, space.spot)
+        ]
+        # Spaces in use before empty ones, so that empty ones may be given back; spot first.
+        fitting.sort(key=lambda s: (not s.spot, not s.used, s.machine is not None and not s.machine.attempts))
+        for space in fitting:
+            if left <= 0:
+                break
+            room = left if demand.forecast else min(left, limit - demand.zones.get(space.zone, 0))
+            take = how_many(demand.need, space.free, room)
+            if take:
+                space.free = plus(space.free, demand.need, -take)
+                space.used = True
+                left -= take
+                if not demand.forecast:
+                    demand.zones[space.zone] = demand.zones.get(space.zone, 0) + take
+        return max(0, left)
+
+    @staticmethod
+    def _allowed(spec: Submission, build: Build, zone: str, spot: bool) -> bool:
+        return (
+            (spec.builds is None or build.name in spec.builds)
+            and (spec.paddock is None or spec.paddock == zone)
+            and (spec.loaners or not spot)
+        )
+
+    def _buy(
+        self,
+        demand: Demand,
+        builds: dict[str, Build],
+        spaces: list[Space],
+        bought: dict[tuple[str, str, bool], int],
+        now: float,
+    ) -> None:
+        limit = zone_limit(demand.spec)
+        fresh: list[Space] = []
+        while demand.tasks > 0:
+            self._reuse(demand, fresh, limit)
+            if demand.tasks <= 0:
+                return
+            best: tuple[float, int, str, str, bool] | None = None
+            for build in allowed_builds(demand.spec, builds.values()):
+                each = how_many(demand.need, room_of(build), demand.tasks)
+                full = how_many(demand.need, room_of(build), 1 << 30)
+                for zone in build.paddocks:
+                    if demand.spec.paddock not in (None, zone):
+                        continue
+                    if not demand.forecast and demand.zones.get(zone, 0) >= limit:
+                        continue
+                    for spot in (True, False) if demand.spec.loaners else (False,):
+                        key = (build.name, zone, spot)
+                        if self.refused_until.get(key, 0.0) > now or bought.get(key, 0) >= HIRE_LIMIT:
+                            continue
+                        price = build.marketPrice if spot else build.rate
+                        held = sum(1 for s in spaces if s.zone == zone) + bought.get(key, 0)
+                        # Price of a task's room; a machine that is mostly left empty counts half as
+                        # much again. Zones with fewer machines first, where the price is the same.
+                        score = price / full * (1.0 + 0.5 * (1 - each / full))
+                        candidate = (score, held, build.name, zone, spot)
+                        if best is None or candidate < best:
+                            best = candidate
+            if best is None:
+                return
+            _, _, name, zone, spot = best
+            bought[(name, zone, spot)] = bought.get((name, zone, spot), 0) + 1
+            space = Space(None, builds[name], zone, spot, room_of(builds[name]), used=True)
+            fresh.append(space)
+            spaces.append(space)
+
+    @staticmethod
+    def _reuse(demand: Demand, fresh: list[Space], limit: int) -> None:
+        for space in fresh:
+            if demand.tasks <= 0:
+                return
+            room = (
+                demand.tasks
+                if demand.forecast
+                else min(demand.tasks, limit - demand.zones.get(space.zone, 0))
+            )
+            take = how_many(demand.need, space.free, room)
+            if take > 0:
+                space.free = plus(space.free, demand.need, -take)
+                demand.zones[space.zone] = demand.zones.get(space.zone, 0) + take
+                demand.tasks -= take
+
+
+def space_of(machine: Machine) -> Space:
+    """The free room of a machine we hold."""
+    return Space(machine, machine.build, machine.zone, machine.spot, machine.free, bool(machine.attempts))
+
+
+def demand_of(job: Job, most: int) -> Demand:
+    """What a job's pending tasks need, at most ``most`` of them."""
+    return Demand(job.spec, job.need, min(job.pending, most), dict(job.zones))
+
+
+def share(need: Room, build: Build) -> float:
+    """Machine shares of a task on a type."""
+    return shares_of(need, room_of(build)) if fits(need, room_of(build)) else float("inf")
--- /dev/null
+++ b/src/poppyhold/service.py
@@ -0,0 +1,497 @@
+"""One controller node: its threads, and what connects them."""
+
+from __future__ import annotations
+
+import logging
+import random
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from poppyhold.authority import Authority
+from poppyhold.cloud import CloudClient, CloudThread
+from poppyhold.context import Data
+from poppyhold.controller import Controller, Snapshot
+from poppyhold.election import Election, Leader, Term
+from poppyhold.http import Answer, Server, answer
+from poppyhold.messages import Build, Builds, Malformed, Report, convert, decode, parse_report
+from poppyhold.options_pb2 import Options
+from poppyhold.peers import Peers, Ping, Pong
+from poppyhold.settings import Settings, split_address
+from poppyhold.store import (
+    ACTIVE,
+    BUILDS,
+    DONE,
+    HIRE,
+    MACHINE,
+    PLAN,
+    Committer,
+    Conflict,
+    Entry,
+    Gone,
+    Refused,
+    Store,
+    Unit,
+    Unsure,
+    Watch,
+    grouped,
+    put,
+)
+from poppyhold.users import Users
+from poppyhold.workers import Done, Senders
+
+log = logging.getLogger(__name__)
+
+Work = Callable[[], None]
+
+# What the decision thread does first: the ranks that the operators ask for.
+REPORTS, DECISIONS, SUBMISSIONS = 0, 1, 2
+
+
+class RankedQueue:
+    """Work for the decision thread, bounded, lowest rank first, and in order within a rank."""
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self._queues: tuple[deque[Work], ...] = (deque(), deque(), deque())
+        self._wake = threading.Condition(threading.Lock())
+
+    def put(self, rank: int, work: Work) -> bool:
+        """Queue work; False if too much of a rank that may be turned away is waiting."""
+        with self._wake:
+            if rank == REPORTS and len(self._queues[rank]) >= self._most:
+                return False
+            self._queues[rank].append(work)
+            self._wake.notify()
+        return True
+
+    def get(self, timeout: float) -> Work | None:
+        """The next work, or None when the time is up."""
+        with self._wake:
+            if not any(self._queues):
+                self._wake.wait(timeout)
+            for waiting in self._queues:
+                if waiting:
+                    return waiting.popleft()
+        return None
+
+    def __len__(self) -> int:
+        return sum(map(len, self._queues))
+
+
+class Reign:
+    """One term of leading: the decision thread and the edges that serve it."""
+
+    def __init__(self, node: Node, term: Term) -> None:
+        self._node, self._term = node, term
+        self.alive = True
+        self._queue = RankedQueue(node.settings.settings.machine_limits.max_sockets)
+        self._committer = Committer(node.store, node.settings, term.stamp, self._lost)
+        self._senders = Senders(node.settings)
+        self._cloud: CloudThread | None = None
+        self._watch: Watch | None = None
+        self._counts: dict[str, tuple[int, int]] = {}
+        self.controller = Controller(
+            node.settings, node.options, self, term.baton, time.monotonic, time.time, node.rng
+        )
+        self._tick_s = node.settings.settings.workers.report_s / 4
+        self._ready = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="decisions", daemon=True)
+        self._thread.start()
+
+    # -- the decision thread -------------------------------------------------------------------------
+
+    def _run(self) -> None:
+        try:
+            snapshot, entries = self._read()
+        except Exception:
+            log.exception("could not read what is durable")
+            self._node.election.resign("the state could not be read")
+            return
+        if not self.alive:
+            return
+        self.controller.load(snapshot, self._node.builds.values())
+        self._cloud = CloudThread(self._node.settings, self._node.cloud, self._on_builds, self._on_listed)
+        self._watch = Watch(
+            self._node.store,
+            ACTIVE,
+            self._node.settings.settings.workers.lease_s / 5,
+            self._on_resync,
+            self._on_job,
+        ).start()
+        log.info("rebuilt: %d jobs, %d machines", len(entries), len(snapshot.machines))
+        self._ready.set()
+        tick_at = time.monotonic()
+        while self.alive:
+            work = self._queue.get(max(0.0, tick_at - time.monotonic()))
+            try:
+                if work is not None:
+                    work()
+                if time.monotonic() >= tick_at:
+                    self.controller.tick()
+                    self._counts = self.controller.counts()
+                    tick_at = time.monotonic() + self._tick_s
+                if not len(self._queue):
+                    self.controller.settle()
+            except Exception:
+                log.exception("decision")
+
+    def _read(self) -> tuple[Snapshot, list[Entry]]:
+        while self.alive:
+            try:
+                scan = self._node.store.scan
+                active = scan(ACTIVE)[0]
+                return (
+                    Snapshot(
+                        active,
+                        grouped(scan(PLAN)[0], PLAN),
+                        grouped(scan(DONE)[0], DONE),
+                        grouped(scan(HIRE)[0], HIRE),
+                        grouped(scan(MACHINE)[0], MACHINE),
+                    ),
+                    active,
+                )
+            except (Refused, Unsure) as error:
+                log.debug("reading: %s", error)
+                time.sleep(self._node.store.timeout / 4)
+        return Snapshot(), []
+
+    def _post(self, rank: int, work: Work) -> bool:
+        return self.alive and self._queue.put(rank, work)
+
+    def _on_resync(self, entries: list[Entry]) -> None:
+        self._post(DECISIONS, lambda: self.controller.resync(entries))
+
+    def _on_job(self, change: Entry | str, stamp: int) -> None:
+        if isinstance(change, Entry):
+            self._post(SUBMISSIONS, lambda: self.controller.job_set(change))
+        else:
+            # A cancellation is not a submission: it is acted on with the decisions.
+            self._post(DECISIONS, lambda: self.controller.job_removed(change))
+
+    def _on_builds(self, builds: list[Build]) -> None:
+        self._node.learn_builds(builds, publish=True)
+        self._post(DECISIONS, lambda: self.controller.builds(builds))
+
+    def _on_listed(self, boxes: list[Any]) -> None:
+        self._post(DECISIONS, lambda: self.controller.listed(boxes))
+
+    def _lost(self) -> None:
+        self._node.election.deposed("a write was refused under our key")
+
+    def stop(self) -> None:
+        """End the term: nothing of it is answered or sent from now on."""
+        self.alive = False
+        self._committer.stop()
+        self._senders.stop()
+        if self._cloud is not None:
+            self._cloud.stop()
+        if self._watch is not None:
+            self._watch.stop()
+        self._queue.put(DECISIONS, lambda: None)
+
+    # -- reports -------------------------------------------------------------------------------------
+
+    def hello(self, report: Report, timeout: float) -> Data | None:
+        """Have a report answered by the decision thread."""
+        if not self._ready.is_set():
+            return None
+        result: list[Data | None] = [None]
+        turn = threading.Lock()
+        turn.acquire()
+
+        def work() -> None:
+            try:
+                if self.alive and self.may_answer():
+                    result[0] = self.controller.hello(report)
+            finally:
+                turn.release()
+
+        if not self._post(REPORTS, work) or not turn.acquire(timeout=timeout):
+            return None
+        return result[0]
+
+    def may_answer(self) -> bool:
+        """Whether workers may be given another lease."""
+        return self._node.authority.may_answer(time.monotonic(), self.synced_at())
+
+    def synced_at(self) -> float:
+        """Everything changed before this moment is known to us."""
+        return self._watch.synced_at if self._watch is not None else self._term.began_at
+
+    def counts(self) -> dict[str, tuple[int, int]]:
+        """Done and running tasks by job, as of the last tick."""
+        return self._counts
+
+    # -- the edges of the core -----------------------------------------------------------------------
+
+    def commit(
+        self,
+        conditions: dict[str, int],
+        writes: list[Data],
+        done: Callable[[bool], None],
+        first: bool = False,
+    ) -> None:
+        """See `Edges`."""
+
+        def durable(result: bool) -> None:
+            self._post(DECISIONS, lambda: done(result))
+
+        self._committer.submit(Unit(conditions, writes, durable), first)
+
+    def do(self, box: str, endpoint: str, body: Data, done: Done, patient: bool) -> None:
+        """See `Edges`."""
+
+        def answered(outcome: str, report: Report | None) -> None:
+            self._post(DECISIONS, lambda: done(outcome, report))
+
+        self._senders.send(endpoint, body, answered, patient)
+
+    def hire(self, body: Data, done: Callable[[str, list[str]], None]) -> None:
+        """See `Edges`."""
+
+        def answered(outcome: str, boxes: list[str]) -> None:
+            self._post(DECISIONS, lambda: done(outcome, boxes))
+
+        if self._cloud is not None:
+            self._cloud.hire(body, answered)
+
+    def delete(self, names: list[str], done: Callable[[bool], None]) -> None:
+        """See `Edges`."""
+
+        def deleted(result: bool) -> None:
+            self._post(DECISIONS, lambda: done(result))
+
+        if self._cloud is not None:
+            self._cloud.delete(names, deleted)
+
+    def deposed(self, baton: int) -> None:
+        """See `Edges`."""
+        self._node.election.saw_baton(baton)
+
+    def raised(self, baton: int) -> None:
+        """See `Edges`."""
+        self._node.election.raised(baton)
+
+    def resign(self, why: str) -> None:
+        """See `Edges`."""
+        threading.Thread(target=self._node.election.resign, args=(why,), daemon=True).start()
+
+    def over(self, job_id: str, status: str, chores: int) -> None:
+        """See `Edges`."""
+        self._node.users.finals.put(job_id, status, chores)
+
+    def may_start(self) -> bool:
+        """See `Edges`."""
+        election = self._node.election
+        now = time.monotonic()
+        # Both our lead and our knowledge of cancellations must be fresh.
+        return (
+            self.alive
+            and now - election.confirmed_at < election.life_s
+            and now - self.synced_at() < election.life_s * 2
+        )
+
+    def confirmed_at(self) -> float:
+        """See `Edges`."""
+        return self._node.election.confirmed_at if self.alive else float("-inf")
+
+
+class Node:
+    """A controller: routes requests, and leads when elected."""
+
+    def __init__(self, settings: Settings, options: Options) -> None:
+        self.settings, self.options = settings, options
+        self.rng = random.Random()
+        self.store = Store(settings)
+        self.cloud = CloudClient(settings)
+        self.builds: dict[str, Build] = {}
+        self._builds_published: object = None
+        self._peer_counts: dict[str, tuple[int, int]] = {}
+        self.users = Users(settings, self.store, lambda: self.builds, self._count)
+        self._reign: Reign | None = None
+        self._reign_lock = threading.Lock()
+        self._stop = threading.Event()
+        self._started_at = time.monotonic()
+        self.election = Election(settings, options, self.store, self._elected, self._deposed, self.rng)
+        self.peers = Peers(
+            settings,
+            self._describe,
+            self._counts,
+            self._synced_at,
+            self._on_ping,
+            self._on_pong,
+            self._refused,
+        )
+        workers = settings.settings.workers
+        lease_over_s = workers.lease_s * 1.001 + workers.report_s * 0.25
+        self.authority = Authority(
+            workers.cancel_s - lease_over_s - workers.report_s * 2,
+            [known.member for known in settings.known],
+            lambda: self.peers.views,
+        )
+        self._hello_timeout = workers.report_s * 2.5
+        self._ready_s = workers.lease_s * 0.35
+        limit = int(settings.settings.machine_limits.max_sockets * 0.75)
+        self.server = Server(split_address(settings.client_listen), self.route, limit)
+
+    def run(self) -> None:
+        """Serve until stopped."""
+        threading.Thread(target=self.server.serve_forever, name="http", daemon=True).start()
+        self.peers.start()
+        self.election.watch.start()
+        self._learn()
+        if not self._stop.is_set():
+            self.election.start()
+        self._stop.wait()
+
+    def stop(self) -> None:
+        """End every thread."""
+        self._stop.set()
+        self.election.stop()
+        self.peers.stop()
+        self.server.close_all()
+
+    # -- machine types -------------------------------------------------------------------------------
+
+    def _learn(self) -> None:
+        """Machine types come first: without them we can neither judge jobs nor know machines."""
+        pause = self.store.timeout / 4
+        while not self.builds and not self._stop.is_set():
+            try:
+                entry = self.store.get(BUILDS)
+                if entry is not None:
+                    self.learn_builds(convert(entry.data, Builds).builds, publish=False)
+                    return
+            except (Refused, Unsure, Malformed) as error:
+                log.debug("machine types: %s", error)
+            builds = self.cloud.builds()
+            if builds:
+                self.learn_builds(builds, publish=False)
+                return
+            self._stop.wait(self.rng.uniform(pause, pause * 3))
+
+    def learn_builds(self, builds: list[Build], publish: bool) -> None:
+        """Keep the machine types; the leader makes them durable for nodes that start without a cloud."""
+        self.builds = {**self.builds, **{build.name: build for build in builds}}
+        shapes = [(b.name, b.cpus, b.accelerators, b.memGb, tuple(b.paddocks)) for b in self.builds.values()]
+        if publish and shapes != self._builds_published:
+            try:
+                body = {"builds": [msgspec.to_builtins(build) for build in self.builds.values()]}
+                self.store.commit({}, [put(BUILDS, body)])
+                self._builds_published = shapes
+            except (Refused, Unsure, Conflict, Gone) as error:
+                log.debug("machine types: %s", error)
+
+    # -- leading -------------------------------------------------------------------------------------
+
+    def _elected(self, term: Term) -> None:
+        with self._reign_lock:
+            if self._reign is not None:
+                self._reign.stop()
+            self._reign = Reign(self, term)
+
+    def _deposed(self) -> None:
+        with self._reign_lock:
+            if self._reign is not None:
+                self._reign.stop()
+                self._reign = None
+
+    def _synced_at(self) -> float:
+        reign = self._reign
+        return reign.synced_at() if reign is not None else self.election.watch.synced_at
+
+    def _counts(self) -> dict[str, tuple[int, int]]:
+        reign = self._reign
+        return reign.counts() if reign is not None else {}
+
+    def _count(self, job_id: str) -> tuple[int, int]:
+        reign = self._reign
+        counts = reign.counts() if reign is not None else self._peer_counts
+        return counts.get(job_id, (0, 0))
+
+    # -- peers ---------------------------------------------------------------------------------------
+
+    def _describe(self) -> Ping:
+        term = self.election.term
+        age = time.monotonic() - max(self.store.contact_at, self._started_at)
+        return Ping(self.settings.member, term.baton if term else 0, term is not None, age)
+
+    def _on_ping(self, ping: Ping) -> None:
+        if ping.leading:
+            self.election.saw_baton(ping.baton)
+            counts = dict(self._peer_counts)
+            counts.update({job: (done, running) for job, done, running in ping.counts})
+            while len(counts) > self.settings.settings.machine_limits.ram_mb * 100:
+                counts.pop(next(iter(counts)))
+            self._peer_counts = counts
+
+    def _on_pong(self, pong: Pong) -> None:
+        if pong.leading:
+            self.election.saw_baton(pong.baton)
+            return
+        leader = self.election.leader
+        # It runs, and leads nothing: the key is that of a process before it.
+        if leader is not None and leader.member == pong.member and pong.baton == 0:
+            self._suspect(leader)
+
+    def _refused(self, member: str) -> None:
+        leader = self.election.leader
+        if leader is not None and leader.member == member:
+            self._suspect(leader)
+
+    def _suspect(self, leader: Leader) -> None:
+        if self.election.term is None:
+            self.election.depose(leader)
+
+    # -- requests ------------------------------------------------------------------------------------
+
+    def route(self, method: str, path: str, body: bytes) -> Answer:
+        """Answer a request of a user, a worker or the load balancer."""
+        path = path.partition("?")[0]
+        if path == "/hello":
+            return self._hello(body) if method == "POST" else self._wrong("POST")
+        if path == "/ready":
+            return self._is_ready() if method == "GET" else self._wrong("GET")
+        if path == "/api/jobs":
+            return self.users.submit(body) if method == "POST" else self._wrong("POST")
+        if path.startswith("/api/jobs/"):
+            job_id, _, action = path.removeprefix("/api/jobs/").partition("/")
+            if not action:
+                return self.users.poll(job_id) if method == "GET" else self._wrong("GET")
+            if action == "abort":
+                return self.users.abort(job_id) if method == "POST" else self._wrong("POST")
+        return answer(404, {"error": "no such path"})
+
+    @staticmethod
+    def _wrong(allowed: str) -> Answer:
+        return answer(405, {"error": "method"}, Allow=allowed)
+
+    def _is_ready(self) -> Answer:
+        # In an outage of the state service every node is as good as another; one that alone has
+        # lost it should not be sent users.
+        cut_off = time.monotonic() - self.store.contact_at > self._ready_s
+        if not self.builds or (cut_off and any(v.has_state for v in self.peers.views.values())):
+            return answer(503, {"error": "not ready"}, Retry_After="1")
+        return answer(200, {"member": self.settings.member})
+
+    def _hello(self, body: bytes) -> Answer:
+        try:
+            report = parse_report(decode(body))
+        except Malformed as error:
+            return answer(400, {"error": str(error)})
+        reign = self._reign
+        if reign is not None:
+            reply = reign.hello(report, self._hello_timeout)
+            if reply is not None:
+                return answer(200, reply)
+            if self._reign is reign:
+                return answer(503, {"error": "not entitled now"})
+        leader = self.election.leader
+        if leader is None or leader.member == self.settings.member:
+            return answer(421)
+        return answer(421, {"foreman": leader.member})
--- /dev/null
+++ b/src/poppyhold/settings.py
@@ -0,0 +1,158 @@
+"""The platform's settings file (TOML), checked; fields we don't know are ignored."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+
+class ConfigError(Exception):
+    """A settings or options file that can't be used; the text names the field."""
+
+
+class Known(msgspec.Struct, frozen=True):
+    """Another controller."""
+
+    member: str
+    domain: str
+    address: str
+
+
+class Outside(msgspec.Struct, frozen=True):
+    """The services that controllers call."""
+
+    cloud: str
+    state: str
+
+
+class Team(msgspec.Struct, frozen=True):
+    """A team's guarantee and limit; 0 as a limit means that there is none."""
+
+    name: str
+    cpus: float = 0.0
+    cpus_max: float = 0.0
+    gpus: float = 0.0
+    gpus_max: float = 0.0
+
+
+class Objective(msgspec.Struct, frozen=True):
+    """What is expected of a class of jobs."""
+
+    kind: str
+    lot: str | None = msgspec.field(name="class", default=None)
+    within_s: float | None = None
+    share: float | None = None
+    times: float | None = None
+
+
+class Workers(msgspec.Struct, frozen=True):
+    """The workers' times."""
+
+    report_s: float = 1.0
+    lease_s: float = 10.0
+    cancel_s: float = 30.0
+
+
+class State(msgspec.Struct, frozen=True):
+    """Limits of the state service."""
+
+    rps: float = 50.0
+    write_rps: float = 20.0
+    value_kb: float = 8.0
+    txn_ops: int = 10
+
+
+class Cloud(msgspec.Struct, frozen=True):
+    """Limits and lag of the cloud's interface."""
+
+    rps: float = 2.0
+    list_lag_s: float = 8.0
+
+
+class MachineLimits(msgspec.Struct, frozen=True):
+    """What this process may use."""
+
+    core_share: float = 1.0
+    ram_mb: float = 256.0
+    max_sockets: int = 1000
+
+
+class Deployment(msgspec.Struct, frozen=True):
+    """The figures of a deployment."""
+
+    count: int
+    zones: list[str]
+    skew_ms: float = 0.0
+    teams: list[Team] = []
+    objectives: list[Objective] = []
+    workers: Workers = Workers()
+    state: State = State()
+    cloud: Cloud = Cloud()
+    machine_limits: MachineLimits = MachineLimits()
+
+
+class Settings(msgspec.Struct, frozen=True):
+    """One controller's settings file."""
+
+    member: str
+    domain: str
+    client_listen: str
+    back: str
+    outside: Outside
+    settings: Deployment
+    known: list[Known] = []
+
+
+# What must be above 0 for the ratios built on it to mean anything.
+_POSITIVE = {
+    "workers": ("report_s", "lease_s", "cancel_s"),
+    "state": ("rps", "write_rps", "value_kb", "txn_ops"),
+    "cloud": ("rps", "list_lag_s"),
+    "machine_limits": ("core_share", "ram_mb", "max_sockets"),
+}
+
+
+def split_address(text: str, field: str = "address") -> tuple[str, int]:
+    """Split ``host:port``."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ConfigError(f"{field}: {text!r} is not host:port")
+    return host, int(port)
+
+
+def load_settings(path: str | Path) -> Settings:
+    """Read and check a settings file."""
+    try:
+        raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from error
+    except (UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise ConfigError(f"{path}: {error}") from error
+    try:
+        settings = msgspec.convert(raw, Settings)
+    except msgspec.ValidationError as error:
+        raise ConfigError(f"{path}: {error}") from error
+    try:
+        _check(settings)
+    except ConfigError as error:
+        raise ConfigError(f"{path}: {error}") from error
+    return settings
+
+
+def _check(settings: Settings) -> None:
+    split_address(settings.client_listen, "client_listen")
+    split_address(settings.back, "back")
+    split_address(settings.outside.cloud, "outside.cloud")
+    split_address(settings.outside.state, "outside.state")
+    for peer in settings.known:
+        split_address(peer.address, f"known.{peer.member}.address")
+    deployment = settings.settings
+    for section, names in _POSITIVE.items():
+        for name in names:
+            value = getattr(getattr(deployment, section), name)
+            if not 0 < value < float("inf"):
+                raise ConfigError(f"settings.{section}.{name}: must be above 0")
+    if deployment.workers.cancel_s <= deployment.workers.lease_s:
+        raise ConfigError("settings.workers.cancel_s: must be above lease_s")
--- /dev/null
+++ b/src/poppyhold/users.py
@@ -0,0 +1,179 @@
+"""The users' edge: any node serves them, and the state service alone decides what is true."""
+
+from __future__ import annotations
+
+import logging
+import threading
+import time
+from collections import OrderedDict
+from collections.abc import Callable
+
+import msgspec
+
+from poppyhold.fleet import allowed_builds
+from poppyhold.http import Answer, answer
+from poppyhold.messages import JOB_ID, Build, Malformed, Submission, decode, encode, parse_submission
+from poppyhold.placement import Quotas
+from poppyhold.settings import Settings
+from poppyhold.store import ACTIVE, FINAL, Conflict, Gone, Refused, Store, Unsure, final_writes, put
+
+log = logging.getLogger(__name__)
+
+_TRIES = 3
+
+
+class Finals:
+    """Final states that were told by the state service: they never change, so they may be kept."""
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self._known: OrderedDict[str, tuple[str, int]] = OrderedDict()
+        self._lock = threading.Lock()
+
+    def get(self, job_id: str) -> tuple[str, int] | None:
+        """Status and number of tasks, if known."""
+        with self._lock:
+            return self._known.get(job_id)
+
+    def put(self, job_id: str, status: str, chores: int) -> None:
+        """Keep a final state."""
+        with self._lock:
+            self._known[job_id] = (status, chores)
+            while len(self._known) > self._most:
+                self._known.popitem(last=False)
+
+
+class Users:
+    """Submissions, questions and cancellations."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        store: Store,
+        builds: Callable[[], dict[str, Build]],
+        counts: Callable[[str], tuple[int, int]],
+    ) -> None:
+        self._settings = settings
+        self._store, self._builds, self._counts = store, builds, counts
+        self._quotas = Quotas(settings.settings.teams)
+        self.finals = Finals(int(settings.settings.machine_limits.ram_mb * 100))
+        # More at once than this would only wait for the state service's limit.
+        self._slots = threading.BoundedSemaphore(max(4, int(settings.settings.state.rps / 4)))
+        self._patience_s = settings.settings.workers.report_s / 4
+
+    def _later(self, status: int = 503) -> Answer:
+        seconds = max(1, round(self._settings.settings.workers.report_s))
+        return answer(status, {"error": "try again later"}, Retry_After=str(seconds))
+
+    def _guarded(self, work: Callable[[], Answer]) -> Answer:
+        # What can't be taken is answered at once, with a time to come back.
+        if not self._slots.acquire(timeout=self._patience_s):
+            return self._later(429)
+        try:
+            return work()
+        except (Refused, Unsure, Gone) as error:
+            log.debug("state service: %s", error)
+            return self._later()
+        finally:
+            self._slots.release()
+
+    def submit(self, body: bytes) -> Answer:
+        """POST /api/jobs."""
+        try:
+            spec = parse_submission(decode(body))
+        except Malformed as error:
+            return answer(400, {"error": str(error)})
+        return self._guarded(lambda: self._submit(spec))
+
+    def _submit(self, spec: Submission) -> Answer:
+        builds = self._builds()
+        verdict = self._never(spec, builds)
+        if verdict is not None or not builds:
+            # A repeat of an accepted job is answered with its state, whatever we think of it now.
+            known = self._look_up(spec.nameId)
+            if known is not None:
+                return answer(200, known)
+            return answer(422, {"error": verdict}) if verdict is not None else self._later()
+        data = {"spec": msgspec.to_builtins(spec), "at": time.time()}
+        if len(encode(data)) > self._settings.settings.state.value_kb * 1024 * 0.8:
+            return answer(400, {"error": "too long"})
+        for _ in range(_TRIES):
+            if self.finals.get(spec.nameId) is None:
+                try:
+                    self._store.commit(
+                        {ACTIVE + spec.nameId: 0, FINAL + spec.nameId: 0}, [put(ACTIVE + spec.nameId, data)]
+                    )
+                    return answer(201, {"nameId": spec.nameId, "status": "pending"})
+                except Unsure:
+                    # Perhaps it went through: the repeat will tell.
+                    continue
+                except Conflict:
+                    pass
+            known = self._look_up(spec.nameId)
+            if known is not None:
+                return answer(200, known)
+        return self._later()
+
+    def _never(self, spec: Submission, builds: dict[str, Build]) -> str | None:
+        """Why a job can never run, or None."""
+        if not self._quotas.known(spec.crew):
+            return "unknown team"
+        tasks = spec.chores if spec.shape == "service" else 1
+        if not self._quotas.ever_fits(spec.crew, (spec.cpus, spec.accelerators, spec.memGb), tasks):
+            return "above the team's limit"
+        if builds and not allowed_builds(spec, builds.values()):
+            return "fits no machine type"
+        return None
+
+    def _look_up(self, job_id: str) -> dict[str, object] | None:
+        """A job's state; None if it was never accepted."""
+        final = self.finals.get(job_id)
+        if final is None:
+            # In this order: a job moves from the active ones to the final ones, and never back.
+            if self._store.get(ACTIVE + job_id) is not None:
+                done, running = self._counts(job_id)
+                status = "running" if running else "pending"
+                return {"nameId": job_id, "status": status, "done": done, "running": running}
+            entry = self._store.get(FINAL + job_id)
+            if entry is None:
+                return None
+            final = (entry.data["s"], entry.data["n"])
+            self.finals.put(job_id, *final)
+        status, chores = final
+        return {"nameId": job_id, "status": status, "done": chores if status == "done" else 0, "running": 0}
+
+    def poll(self, job_id: str) -> Answer:
+        """GET /api/jobs/{id}."""
+        if not JOB_ID.match(job_id):
+            return answer(404, {"error": "unknown job"})
+        return self._guarded(lambda: self._poll(job_id))
+
+    def _poll(self, job_id: str) -> Answer:
+        known = self._look_up(job_id)
+        return answer(404, {"error": "unknown job"}) if known is None else answer(200, known)
+
+    def abort(self, job_id: str) -> Answer:
+        """POST /api/jobs/{id}/abort."""
+        if not JOB_ID.match(job_id):
+            return answer(404, {"error": "unknown job"})
+        return self._guarded(lambda: self._abort(job_id))
+
+    def _abort(self, job_id: str) -> Answer:
+        for _ in range(_TRIES):
+            final = self.finals.get(job_id)
+            if final is not None:
+                return answer(200, {"nameId": job_id, "status": final[0]})
+            entry = self._store.get(ACTIVE + job_id)
+            if entry is None:
+                if self._look_up(job_id) is None:
+                    return answer(404, {"error": "unknown job"})
+                continue
+            try:
+                chores = entry.data["spec"]["chores"]
+                self._store.commit({ACTIVE + job_id: entry.stamp}, final_writes(job_id, "cancelled", chores))
+            except (Conflict, Unsure):
+                # It moved, or may have: look again.
+                continue
+            self.finals.put(job_id, "cancelled", chores)
+            return answer(200, {"nameId": job_id, "status": "cancelled"})
+        return self._later()
