--- a/src/poppyhold/election.py
+++ b/src/poppyhold/election.py
@@ -77,8 +77,7 @@
         self._thread = threading.Thread(target=self._run, name="election", daemon=True)
 
     def start(self) -> None:
-        """Start both threads."""
-        self.watch.start()
+        """Start to campaign. The watch is started before, for requests to be passed on to the leader."""
         self._thread.start()
 
     def stop(self) -> None:
