--- a/src/poppyhold/admission.py
+++ b/src/poppyhold/admission.py
@@ -6,9 +6,9 @@
 
 from poppyhold.attempts import Attempts
 from poppyhold.context import Context
-from poppyhold.fleet import NOTHING, Attempt, Job, Machine, Room, plus
+from poppyhold.fleet import NOTHING, Attempt, Job, Machine, Room, how_many, plus, zone_limit
 from poppyhold.ledger import Ledger
-from poppyhold.placement import Choice, Placement, Quotas
+from poppyhold.placement import Choice, Placement, Quotas, may_use
 from poppyhold.planner import Plan, Planner
 from poppyhold.pricing import Pricing
 from poppyhold.store import ACTIVE as ACTIVE_KEYS
@@ -229,7 +229,7 @@
         for job in ready:
             if job.admitted:
                 cap = self._cap(job)
-                if cap > 0:
+                if cap > 0 and not (job.gang and cap < job.pending):
                     self._start_some(job, machines, cap, None, extra)
         reserved = self._reserved()
         for job in ready:
@@ -259,6 +259,8 @@
     ) -> None:
         ctx = self._ctx
         used = ctx.fleet.used
+        if job.gang and not self._gang_fits(job, machines, reserved, extra):
+            return
         while most > 0:
             index = job.next_pending()
             if index is None:
@@ -277,6 +279,33 @@
             most -= 1
             self._start(job, index, choice)
 
+    def _gang_fits(
+        self, job: Job, machines: list[Machine], reserved: dict[str, Room] | None, extra: Room
+    ) -> bool:
+        """Whether all tasks of a gang can start at once: fewer would only wait for one another."""
+        if job.active:
+            return False
+        mine = self._ctx.fleet.used.get(job.spec.crew, [0.0, 0.0])
+        all_but_one = job.pending - 1
+        total = (
+            mine[0] + extra[0] + job.need[0] * all_but_one,
+            mine[1] + extra[1] + job.need[1] * all_but_one,
+        )
+        if not self._quotas.allows(job.spec.crew, total, job.need):
+            return False
+        zones: dict[str, int] = {}
+        for machine in machines:
+            if may_use(job, machine):
+                free = machine.free
+                if reserved and machine.name in reserved:
+                    free = plus(free, reserved[machine.name], -1.0)
+                room = how_many(job.need, free, job.pending)
+                zones[machine.zone] = zones.get(machine.zone, 0) + room
+        limit = zone_limit(job.spec)
+        if job.spec.samePlace:
+            return max(zones.values(), default=0) >= job.pending
+        return sum(min(limit, room) for room in zones.values()) >= job.pending
+
     def _without(self, reserved: dict[str, Room], job: Job) -> dict[str, Room]:
         own = dict(reserved)
         for name, number in job.booked.get(self.ledger.first, {}).items():
--- a/src/poppyhold/fleet.py
+++ b/src/poppyhold/fleet.py
@@ -111,6 +111,11 @@
         """Whether its tasks run until it is cancelled."""
         return self.spec.shape == "service"
 
+    @property
+    def gang(self) -> bool:
+        """Whether its tasks only run all together."""
+        return self.spec.shape == "group"
+
     @property
     def remaining(self) -> int:
         """Tasks that are not done."""
--- a/src/poppyhold/messages.py
+++ b/src/poppyhold/messages.py
@@ -27,7 +27,7 @@
     nameId: str
     lot: str
     crew: str
-    shape: Literal["array", "service"]
+    shape: Literal["array", "service", "group"]
     rank: Rank
     chores: int
     cpus: float
--- a/src/poppyhold/users.py
+++ b/src/poppyhold/users.py
@@ -118,7 +118,7 @@
         """Why a job can never run, or None."""
         if not self._quotas.known(spec.crew):
             return "unknown team"
-        tasks = spec.chores if spec.shape == "service" else 1
+        tasks = 1 if spec.shape == "array" else spec.chores
         if not self._quotas.ever_fits(spec.crew, (spec.cpus, spec.accelerators, spec.memGb), tasks):
             return "above the team's limit"
         if builds and not allowed_builds(spec, builds.values()):
--- /dev/null
+++ b/tests/test_planner.py
@@ -0,0 +1,128 @@
+"""Planner and pricing against brute force on small cases."""
+
+from __future__ import annotations
+
+import itertools
+import random
+
+import pytest
+
+from poppyhold.fleet import Job, fits, make_job, plus
+from poppyhold.ledger import Ledger
+from poppyhold.messages import Submission
+from poppyhold.options_pb2 import Design
+from poppyhold.planner import Planner
+from poppyhold.pricing import Pricing, shares_of
+
+SLOT_S = 60.0
+
+
+def submission(**changes: object) -> Submission:
+    """A plain job; ``changes`` replace fields."""
+    fields: dict[str, object] = {
+        "nameId": "job-000001",
+        "lot": "sweep",
+        "crew": "team",
+        "shape": "array",
+        "rank": "standard",
+        "chores": 2,
+        "cpus": 4.0,
+        "accelerators": 1.0,
+        "memGb": 10.0,
+        "bundle": "image",
+        "sizeGb": 1.0,
+        "samePlace": False,
+        "apart": False,
+        "loaners": False,
+        "guessS": 50.0,
+        "bookmarkS": 0.0,
+        "stashS": 0.0,
+    }
+    return Submission(**(fields | changes))  # type: ignore[arg-type]
+
+
+def make_planner(horizon: int, machines: int, units: int = 16) -> tuple[Planner, Ledger, Pricing]:
+    """Machines of four accelerators each, in two zones by turns."""
+    ledger = Ledger(horizon)
+    for number in range(machines):
+        ledger.add_machine(f"m{number}", (16.0, 4.0, 64.0), "ab"[number % 2], "type", False)
+    pricing = Pricing(Design())
+    return Planner(pricing, ledger, SLOT_S, units), ledger, pricing
+
+
+def brute_force(job: Job, ledger: Ledger, pricing: Pricing, estimate_s: float) -> float | None:
+    """The best payoff over every way to start the tasks, one slot and machine each."""
+    part = estimate_s / SLOT_S
+    need = (job.need[0] * part, job.need[1] * part, job.need[2] * part)
+    places = [(slot, name) for slot in range(ledger.horizon) for name in ledger.rows]
+    best: float | None = None
+    for chosen in itertools.combinations_with_replacement(places, job.spec.chores):
+        cost = 0.0
+        for slot, name in set(chosen):
+            row = ledger.rows[name]
+            booked = row.booked(slot)
+            if not fits(plus(booked, need, chosen.count((slot, name))), row.capacity):
+                break
+            cost += chosen.count((slot, name)) * pricing.cost(need, booked, row.capacity)
+        else:
+            last = max(slot for slot, _ in chosen)
+            end_at = estimate_s if last == 0 else (last + 1) * SLOT_S
+            shares = shares_of(job.need, (16.0, 4.0, 64.0)) * job.spec.chores * part
+            payoff = pricing.value(job, shares, end_at, SLOT_S) - cost
+            best = payoff if best is None else max(best, payoff)
+    return best
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_plan_has_the_best_payoff(seed: int) -> None:
+    rng = random.Random(seed)
+    planner, ledger, pricing = make_planner(horizon=3, machines=2)
+    for name in ledger.rows:
+        for slot in range(3):
+            ledger.book(name, (4.0, 1.0, 10.0), slot, slot, rng.randrange(4))
+    due = rng.choice([None, 30.0, 90.0, 150.0])
+    job = make_job(submission(chores=rng.randrange(1, 4), dueS=due), 1, 0.0)
+    estimate = rng.choice([30.0, 60.0])
+    expected = brute_force(job, ledger, pricing, estimate)
+    plan = planner.plan(job, job.spec.chores, estimate, now=0.0)
+    if expected is None:
+        assert plan is None
+    else:
+        assert plan is not None
+        assert plan.payoff == pytest.approx(expected)
+        assert sum(sum(machines.values()) for machines in plan.starts.values()) == job.spec.chores
+
+
+def test_price_runs_from_lowest_to_highest() -> None:
+    pricing = Pricing(Design())
+    assert pricing.price(0.0, 8.0) == pytest.approx(pricing.low)
+    assert pricing.price(8.0, 8.0) == pytest.approx(pricing.high)
+    assert pricing.price(4.0, 8.0) == pytest.approx((pricing.low * pricing.high) ** 0.5)
+
+
+def test_full_machines_admit_nothing_and_half_full_ones_only_what_is_worth_it() -> None:
+    planner, ledger, _ = make_planner(horizon=2, machines=1)
+    ledger.book("m0", (4.0, 1.0, 10.0), 0, 1, 3)
+    low = planner.plan(make_job(submission(rank="best_effort", chores=1), 1, 0.0), 1, 60.0, 0.0)
+    high = planner.plan(make_job(submission(rank="critical", chores=1), 1, 0.0), 1, 60.0, 0.0)
+    assert low is not None and low.payoff < 0
+    assert high is not None and high.payoff > 0
+    ledger.book("m0", (4.0, 1.0, 10.0), 0, 1, 1)
+    assert planner.plan(make_job(submission(rank="critical", chores=1), 1, 0.0), 1, 60.0, 0.0) is None
+
+
+def test_apart_keeps_half_of_the_tasks_out_of_a_zone() -> None:
+    planner, ledger, _ = make_planner(horizon=2, machines=3)
+    plan = planner.plan(make_job(submission(chores=8, apart=True), 1, 0.0), 8, 60.0, 0.0)
+    assert plan is not None
+    for zones in plan.zones(ledger).values():
+        assert max(zones.values()) <= 4
+
+
+def test_large_jobs_are_planned_in_units() -> None:
+    planner, _, _ = make_planner(horizon=16, machines=4)
+    job = make_job(submission(chores=200), 1, 0.0)
+    plan = planner.plan(job, 200, 60.0, 0.0)
+    assert plan is not None
+    assert sum(sum(machines.values()) for machines in plan.starts.values()) == 200
+    assert len(plan.starts) >= 200 // 16
