--- a/src/poppyhold/attempts.py
+++ b/src/poppyhold/attempts.py
@@ -235,7 +235,10 @@
     def start(self, job: Job, index: int, machine: Machine, victims: list[Attempt]) -> Attempt:
         """Start a task, after stopping the victims on the same machine."""
         now = self._ctx.clock()
-        attempt = Attempt(job, index, self._ctx.number(), machine, machine.shift, now)
+        # The tasks of a gang find one another by the number of their try.
+        mates = next(iter(job.active.values()), None) if job.gang else None
+        number = mates.number if mates is not None else self._ctx.number()
+        attempt = Attempt(job, index, number, machine, machine.shift, now)
         for victim in victims:
             self.stop(victim, 0.0, now, direct=False)
         if now < machine.shaky_until:
