Preemption without circles; forget booting machines an earlier leader returned

A job beyond its team's guarantee was preempted for a guarantee, and took the room back by its priority. Now the guarantee goes before priority between teams, and is dealt out by priority within one.

--- a/src/poppyhold/admission.py
+++ b/src/poppyhold/admission.py
@@ -273,7 +273,7 @@
                 own = self._without(reserved, job)
             choice = self.placement.best(job, machines, own)
             if choice is None:
-                choice = self.placement.preempt(job, machines, used)
+                choice = self.placement.preempt(job, machines)
             if choice is None:
                 return
             most -= 1
--- a/src/poppyhold/attempts.py
+++ b/src/poppyhold/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 from typing import Any
 
@@ -12,6 +13,8 @@
 from poppyhold.messages import Chore, Report, split_task
 from poppyhold.store import BATON, MACHINE, put
 
+log = logging.getLogger(__name__)
+
 Order = dict[str, Any]
 
 
@@ -185,6 +188,7 @@
 
     def _failed(self, attempt: Attempt, chore: Chore, now: float) -> None:
         job, machine = attempt.job, attempt.machine
+        log.debug("%s on %s ended: %s", attempt.name, machine.name, chore.cause)
         if chore.cause == "error":
             machine.errors.add(job.id)
             job.failures += 1
@@ -197,6 +201,7 @@
             job.retry_at = now + self._ctx.times.report_s
 
     def _over(self, attempt: Attempt, now: float) -> None:
+        log.debug("over: %s on %s, was %s", attempt.name, attempt.machine.name, attempt.status)
         self._on_over(attempt)
         self._ctx.fleet.remove(attempt, now)
         self._ctx.dirty = True
@@ -249,6 +254,7 @@
             machine.direct += [self._stop_order(victim, now) for victim in victims]
             machine.direct.append({"verb": "run", "chore": attempt.name, "try": attempt.number})
         self._ctx.fleet.add(attempt)
+        log.debug("start %s on %s as %d, stopping %d", attempt.name, machine.name, number, len(victims))
         return attempt
 
     def stop(self, attempt: Attempt, leeway_s: float, now: float, direct: bool = True) -> None:
--- a/src/poppyhold/hiring.py
+++ b/src/poppyhold/hiring.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -12,6 +13,8 @@
 from poppyhold.provisioning import Arrivals, Demand, Provisioning, Purchase, Space, demand_of, space_of
 from poppyhold.store import HIRE, MACHINE, Data, put, remove
 
+log = logging.getLogger(__name__)
+
 DELETE_LIMIT = 100
 
 
@@ -55,6 +58,7 @@
     def _buy(self, purchase: Purchase) -> None:
         name = f"r-{self._ctx.number()}"
         hire = Hire(name, purchase.build, purchase.zone, purchase.spot, purchase.number, busy=True)
+        log.info("hire %s: %s", name, purchase)
         self._hires[name] = hire
 
         def durable(done: bool) -> None:
@@ -88,6 +92,7 @@
         def answered(outcome: str, boxes: list[str]) -> None:
             hire.busy = False
             now = self._ctx.clock()
+            log.info("hire %s: %s, %d machines", hire.name, outcome, len(boxes))
             if outcome == OK:
                 hire.boxes = boxes
                 self._ctx.edges.commit({}, [put(HIRE + hire.name, self._data(hire))], lambda done: None)
@@ -145,7 +150,9 @@
         for name, at in list(ctx.dead.items()):
             if now - at > 40 * lag:
                 del ctx.dead[name]
+        present = set()
         for box in boxes:
+            present.add(box.nameId)
             machine = ctx.fleet.machines.get(box.nameId)
             if machine is None:
                 build = ctx.builds.get(box.build)
@@ -157,7 +164,19 @@
             if box.endpoint and not machine.endpoint:
                 machine.endpoint = box.endpoint
             if box.status == "failed":
-                machine.deleting = True
+                self._condemn(machine, "failed")
+            elif not machine.up:
+                machine.since = min(machine.since, now - box.heldS)
+        for machine in list(ctx.fleet.machines.values()):
+            # Hired, never up, and not listed though it should be by now: most likely an earlier leader
+            # returned it. It holds no tasks; if it does come up after all, its reports bring it back.
+            if (
+                not machine.up
+                and not machine.deleting
+                and machine.name not in present
+                and now - machine.since > 3 * lag
+            ):
+                ctx.fleet.machines.pop(machine.name)
 
     # -- machines that must go -----------------------------------------------------------------------
 
@@ -174,7 +193,7 @@
                 continue
             if not machine.up and machine.name not in self._attempts.unheard:
                 if now - machine.since > self._provisioning.give_up_s(machine.build):
-                    machine.deleting = True
+                    self._condemn(machine, "never came up")
                 continue
             up += 1
             quiet = now - max(machine.last_report, began + times.report_s * 2)
@@ -182,7 +201,7 @@
                 self._attempts.probe(machine, now)
             if quiet > times.lost_s:
                 if machine.recall_at is not None and now > machine.recall_at - times.lost_s:
-                    machine.deleting = True
+                    self._condemn(machine, "recalled")
                 else:
                     silent.append(machine)
             if quiet > times.lease_s:
@@ -195,12 +214,19 @@
             ctx.edges.resign("most workers are silent")
         elif len(silent) <= max(3, up // 4):
             for machine in silent:
-                machine.deleting = True
+                self._condemn(machine, "silent")
         for machine in ctx.fleet.machines.values():
             if machine.leaving and not machine.attempts and machine.name not in self._attempts.unheard:
-                machine.deleting = True
+                self._condemn(machine, "left")
         self._delete()
 
+    @staticmethod
+    def _condemn(machine: Machine, why: str) -> None:
+        """Delete a machine: from now on nothing starts on it, whether or not an answer comes soon."""
+        if not machine.deleting:
+            machine.deleting = True
+            log.info("delete %s (%s, %s): %s", machine.name, machine.build.name, machine.zone, why)
+
     def _delete(self) -> None:
         if self._deleting:
             return
@@ -284,5 +310,5 @@
                 and now - self._needed.setdefault(machine.name, now)
                 > self._provisioning.keep_s(machine.build)
             ):
-                machine.deleting = True
+                self._condemn(machine, "not needed")
                 self._needed.pop(machine.name, None)
--- a/src/poppyhold/placement.py
+++ b/src/poppyhold/placement.py
@@ -57,13 +57,21 @@
         )
 
     def mark_guaranteed(self, jobs: Iterable[Job]) -> None:
-        """Mark the jobs that fit into their team's guarantee with its earlier unfinished jobs."""
+        """Mark the jobs that fit into their team's guarantee, highest priority and earliest first.
+
+        Once one does not fit, none behind it is marked: so within a team nobody of a lower priority is
+        guaranteed what one of a higher is not, and preemption has no circles.
+        """
         sums: dict[str, list[float]] = {}
-        for job in sorted(jobs, key=lambda job: (job.at, job.id)):
-            total = sums.setdefault(job.spec.crew, [0.0, 0.0])
+        full: set[str] = set()
+        for job in sorted(jobs, key=lambda job: (job.rank, job.at, job.id)):
+            team = job.spec.crew
+            total = sums.setdefault(team, [0.0, 0.0])
             total[0] += job.need[0] * job.spec.chores
             total[1] += job.need[1] * job.spec.chores
-            job.guaranteed = self.within_guarantee(job.spec.crew, total[0], total[1])
+            if team not in full and not self.within_guarantee(team, total[0], total[1]):
+                full.add(team)
+            job.guaranteed = team not in full
 
 
 def may_use(job: Job, machine: Machine) -> bool:
@@ -148,14 +156,14 @@
             score += boot * 0.05 * sum(1 for attempt in machine.attempts.values() if attempt.job is job)
         return score
 
-    def preempt(self, job: Job, machines: Iterable[Machine], used: dict[str, list[float]]) -> Choice | None:
+    def preempt(self, job: Job, machines: Iterable[Machine]) -> Choice | None:
         """The machine where the least is lost by making room, if preemption is allowed at all."""
         best: Choice | None = None
         best_score = float("inf")
         for machine in machines:
             if not may_use(job, machine) or not zone_allows(job, machine.zone):
                 continue
-            victims = self._victims(job, machine, used)
+            victims = self._victims(job, machine)
             if victims is None:
                 continue
             lost = sum(self._loss(victim) for victim in victims)
@@ -172,7 +180,7 @@
         spec = victim.job.spec
         return spec.bookmarkS / 2 if spec.bookmarkS > 0 else spec.guessS / 2
 
-    def _victims(self, job: Job, machine: Machine, used: dict[str, list[float]]) -> list[Attempt] | None:
+    def _victims(self, job: Job, machine: Machine) -> list[Attempt] | None:
         free = machine.free
         if fits(job.need, free):
             return None
@@ -181,7 +189,7 @@
             for attempt in machine.attempts.values()
             if attempt.status in ("pulling", "running")
             and attempt.stopping_at is None
-            and self._may_preempt(job, attempt, used)
+            and self._may_preempt(job, attempt)
         ]
         candidates.sort(key=lambda a: (-a.job.rank, self._loss(a), a.sent_at))
         chosen: list[Attempt] = []
@@ -192,12 +200,11 @@
                 return chosen
         return None
 
-    def _may_preempt(self, job: Job, victim: Attempt, used: dict[str, list[float]]) -> bool:
+    @staticmethod
+    def _may_preempt(job: Job, victim: Attempt) -> bool:
         other = victim.job
-        if other.rank > job.rank:
-            return True
-        # Borrowed room goes back to a team that is within its guarantee.
-        if other.spec.crew == job.spec.crew or not job.guaranteed or other.guaranteed:
-            return False
-        cpus, gpus = used.get(other.spec.crew, [0.0, 0.0])
-        return not self._quotas.within_guarantee(other.spec.crew, cpus, gpus)
+        if other.spec.crew == job.spec.crew or other.guaranteed == job.guaranteed:
+            return other.rank > job.rank
+        # Between teams the guarantee goes before priority. Were it not so both ways, two jobs could
+        # preempt one another for ever: one by its priority, the other by its guarantee.
+        return job.guaranteed
