--- a/src/poppyhold/attempts.py
+++ b/src/poppyhold/attempts.py
@@ -53,6 +53,7 @@
         machine.last_answer = now
         if not machine.up:
             machine.up = True
+            machine.up_at = now
             machine.idle_since = now
             ctx.dirty = True
         self._record(machine)
--- a/src/poppyhold/fleet.py
+++ b/src/poppyhold/fleet.py
@@ -159,6 +159,7 @@
     endpoint: str = ""
     # booting: has not reported; up; gone: proven, and out of every count.
     up: bool = False
+    up_at: float = float("-inf")
     # Its name is durable, so that a next leader asks it before it starts anything.
     recorded: bool = False
     record_asked: bool = False
@@ -171,6 +172,8 @@
     recall_at: float | None = None
     recalled_at: float | None = None
     leaving: bool = False
+    # Being emptied, to be returned: its replicas move one by one.
+    draining: bool = False
     deleting: bool = False
     shaky_until: float = 0.0
     do_busy: bool = False
@@ -203,6 +206,7 @@
             and self.recorded
             and self.heard
             and not self.leaving
+            and not self.draining
             and not self.deleting
             and self.recall_at is None
             and not self.strangers
--- a/src/poppyhold/hiring.py
+++ b/src/poppyhold/hiring.py
@@ -10,6 +10,7 @@
 from poppyhold.context import OK, REFUSED, Context
 from poppyhold.fleet import NOTHING, Machine, room_of
 from poppyhold.messages import Listed
+from poppyhold.packing import Packing
 from poppyhold.provisioning import Arrivals, Demand, Provisioning, Purchase, Space, demand_of, space_of
 from poppyhold.store import HIRE, MACHINE, Data, put, remove
 
@@ -196,7 +197,7 @@
                     self._condemn(machine, "never came up")
                 continue
             up += 1
-            quiet = now - max(machine.last_report, began + times.report_s * 2)
+            quiet = now - max(machine.last_report, machine.up_at, began + times.report_s * 2)
             if quiet > times.silent_s / 2:
                 self._attempts.probe(machine, now)
             if quiet > times.lost_s:
@@ -216,7 +217,11 @@
             for machine in silent:
                 self._condemn(machine, "silent")
         for machine in ctx.fleet.machines.values():
-            if machine.leaving and not machine.attempts and machine.name not in self._attempts.unheard:
+            if (
+                (machine.leaving or machine.draining)
+                and not machine.attempts
+                and machine.name not in self._attempts.unheard
+            ):
                 self._condemn(machine, "left")
         self._delete()
 
@@ -268,13 +273,37 @@
         for purchase in purchases:
             self._buy(purchase)
         self._return(spaces, now)
+        if not purchases:
+            self._pack(spaces, now)
+
+    def _pack(self, spaces: list[Space], now: float) -> None:
+        """Empty little used machines, one replica at a time, when nothing waits for room."""
+        ctx = self._ctx
+        machines = ctx.fleet.machines
+        if self._attempts.unheard or any(j.pending > 0 and not j.over for j in ctx.fleet.jobs.values()):
+            return
+        most = max(1, len(machines) // 16)
+        for machine in Packing(most).choose(spaces, lambda m: m.usable(now, ctx.times.silent_s)):
+            machine.draining = True
+            log.info("empty %s: %d replicas", machine.name, len(machine.attempts))
+        moving = {
+            a.job.id for m in machines.values() for a in m.attempts.values() if a.stopping_at is not None
+        }
+        for machine in machines.values():
+            if not machine.draining or machine.deleting:
+                continue
+            for attempt in machine.attempts.values():
+                if attempt.stopping_at is None and attempt.job.service and attempt.job.id not in moving:
+                    self._attempts.stop(attempt, 0.0, now)
+                    break
 
     def _spaces(self, now: float) -> list[Space]:
         ctx = self._ctx
         spaces = []
         for machine in ctx.fleet.machines.values():
             late = not machine.up and now - machine.since > 2 * machine.build.startupS
-            if machine.deleting or machine.leaving or machine.recall_at is not None or late:
+            gone = machine.deleting or machine.leaving or machine.draining
+            if gone or machine.recall_at is not None or late:
                 continue
             if machine.up and now - machine.last_report > ctx.times.silent_s and machine.heard:
                 continue
--- /dev/null
+++ b/src/poppyhold/packing.py
@@ -0,0 +1,97 @@
+"""Emptying machines that are little used: replicas move to where their image is already."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from poppyhold.fleet import Attempt, Machine, fits, plus, zone_limit
+from poppyhold.placement import may_use
+from poppyhold.pricing import shares_of
+from poppyhold.provisioning import Space
+
+
+class Packing:
+    """Chooses machines to empty. What the forecast and waiting work need is left free."""
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+
+    def choose(self, spaces: Iterable[Space], ready: Callable[[Machine], bool]) -> list[Machine]:
+        """Machines whose replicas all fit, with their images, on machines that stay."""
+        held = [space for space in spaces if space.machine is not None and ready(space.machine)]
+        draining = sum(1 for space in held if space.machine is not None and space.machine.draining)
+        candidates = sorted(
+            (space for space in held if space.machine is not None and self._movable(space.machine)),
+            key=self._load,
+        )
+        chosen: list[Machine] = []
+        for space in candidates:
+            if draining + len(chosen) >= self._most:
+                break
+            machine = space.machine
+            if machine is None or machine.draining or self._load(space) > _LOAD:
+                continue
+            others = [
+                other
+                for other in held
+                if other is not space
+                and other.machine is not None
+                and other.machine.attempts
+                and not other.machine.draining
+                and other.machine not in chosen
+            ]
+            if self._fits(machine, others):
+                chosen.append(machine)
+        return chosen
+
+    @staticmethod
+    def _load(space: Space) -> float:
+        machine = space.machine
+        if machine is None:
+            return 0.0
+        return max(
+            (used / all_ for used, all_ in zip(machine.used, machine.capacity, strict=True) if all_ > 0),
+            default=0.0,
+        )
+
+    @staticmethod
+    def _movable(machine: Machine) -> bool:
+        """Only running replicas move; a machine with array tasks is left until they are done."""
+        return bool(machine.attempts) and all(
+            attempt.job.service and attempt.status == "running" and attempt.stopping_at is None
+            for attempt in machine.attempts.values()
+        )
+
+    @staticmethod
+    def _fits(machine: Machine, others: list[Space]) -> bool:
+        taken: dict[int, tuple[float, float, float]] = {}
+        moves: list[tuple[Space, Attempt]] = []
+        attempts = sorted(machine.attempts.values(), key=lambda a: -shares_of(a.job.need, machine.capacity))
+        zones: dict[tuple[str, str], int] = {}
+        for attempt in attempts:
+            job = attempt.job
+            for index, space in enumerate(others):
+                target = space.machine
+                if target is None or job.spec.bundle not in target.images or not may_use(job, target):
+                    continue
+                free = taken.get(index, space.free)
+                if not fits(job.need, free):
+                    continue
+                moved = zones.get((job.id, target.zone), 0) + (target.zone != machine.zone)
+                if job.zones.get(target.zone, 0) + moved > zone_limit(job.spec):
+                    continue
+                if job.spec.samePlace and job.spec.chores > 1 and target.zone != machine.zone:
+                    continue
+                taken[index] = plus(free, job.need, -1.0)
+                zones[(job.id, target.zone)] = moved
+                moves.append((space, attempt))
+                break
+            else:
+                return False
+        for index, free in taken.items():
+            others[index].free = free
+        return True
+
+
+# Machines that are used more than this are not worth emptying.
+_LOAD = 0.5
--- a/src/poppyhold/provisioning.py
+++ b/src/poppyhold/provisioning.py
@@ -13,6 +13,8 @@
 from poppyhold.pricing import shares_of
 
 HIRE_LIMIT = 50
+# Parts of the forecast's window that are told apart.
+_PARTS = 6
 
 
 @dataclass(slots=True)
@@ -68,18 +70,31 @@
             self._seen.popleft()
         if self._began_at is None:
             return []
-        observed = min(self._window_s, max(ahead_s, now - self._began_at))
-        groups: dict[tuple[str, Room], list[Submission]] = {}
-        for _, spec in self._seen:
-            groups.setdefault((spec.lot, (spec.cpus, spec.accelerators, spec.memGb)), []).append(spec)
+        groups: dict[tuple[str, Room], list[tuple[float, Submission]]] = {}
+        for at, spec in self._seen:
+            key = (spec.lot, (spec.cpus, spec.accelerators, spec.memGb))
+            groups.setdefault(key, []).append((at, spec))
         demands = []
-        for (_, need), specs in groups.items():
-            squares = sum(float(spec.chores) ** 2 for spec in specs) * ahead_s / observed
+        for (_, need), seen in groups.items():
+            squares = self._steady_squares(now, seen) * ahead_s
             tasks = math.ceil(factor * math.sqrt(squares))
-            sample = specs[-1]
-            demands.append(Demand(sample, need, tasks, {}, forecast=True))
+            demands.append(Demand(seen[-1][1], need, tasks, {}, forecast=True))
         return demands
 
+    def _steady_squares(self, now: float, seen: list[tuple[float, Submission]]) -> float:
+        """Squared job sizes per second, without the busiest part of the window.
+
+        A backlog that comes at once, as when a fleet is first started, is no sign of what will come.
+        """
+        parts = [0.0] * _PARTS
+        part_s = self._window_s / _PARTS
+        for at, spec in seen:
+            parts[min(_PARTS - 1, int((now - at) / part_s))] += float(spec.chores) ** 2
+        covered = min(_PARTS, math.ceil((now - (self._began_at or 0.0)) / part_s))
+        if covered <= 1:
+            return 0.0
+        return (sum(parts) - max(parts)) / ((covered - 1) * part_s)
+
 
 class Provisioning:
     """Fits all demand into the room that is held or coming, and rents what is missing."""
