Peers confirm by revision that no cancellation is unknown to the leader

Cause: in an outage of the state service the leader stopped answering workers after 17 s, since a peer's last contact always lay behind the leader's last look at the watch. Peers now tell the revision of the last cancellation they told a user; the leader compares it with what its watch has delivered.

--- a/src/poppyhold/peers.py
+++ b/src/poppyhold/peers.py
@@ -30,6 +30,8 @@
     leading: bool
     # Seconds since the state service last answered the sender.
     state_age_s: float
+    # Highest revision of a cancellation that the sender told a user; -1: it can't know.
+    told: int
     counts: list[Count] = []
 
 
@@ -40,6 +42,7 @@
     baton: int
     leading: bool
     state_age_s: float
+    told: int
 
 
 Message = Ping | Pong
@@ -89,13 +92,13 @@
         settings: Settings,
         describe: Callable[[], Ping],
         counts: Callable[[], dict[str, tuple[int, int]]],
-        synced_at: Callable[[], float],
+        known_ledger: Callable[[], int],
         on_ping: Callable[[Ping], None],
         on_pong: Callable[[Pong], None],
         on_refused: Callable[[str], None],
     ) -> None:
         self._settings = settings
-        self._describe, self._counts, self._synced_at = describe, counts, synced_at
+        self._describe, self._counts, self._known_ledger = describe, counts, known_ledger
         self._on_ping, self._on_pong, self._on_refused = on_ping, on_pong, on_refused
         workers = settings.settings.workers
         self._every_s = workers.report_s / 2
@@ -144,7 +147,7 @@
                         raise ValueError("not a ping")
                     self._on_ping(message)
                     us = self._describe()
-                    send(connection, Pong(us.member, us.baton, us.leading, us.state_age_s))
+                    send(connection, Pong(us.member, us.baton, us.leading, us.state_age_s, us.told))
         except (OSError, ValueError, msgspec.MsgspecError) as error:
             log.debug("peer connection: %s", error)
         except Exception:
@@ -189,9 +192,9 @@
         old = self.views.get(member)
         blind_until = old.blind_until if old else float("-inf")
         answered = time.monotonic()
-        # Its last word from the state service came at the latest at `answered - age`. If we knew
-        # everything up to then, it has told nobody anything new until it got our question.
-        if answered - pong.state_age_s <= self._synced_at():
+        # If we know every change up to the last cancellation it told anybody, then until it got our
+        # question it has told nobody anything that we don't know.
+        if 0 <= pong.told <= self._known_ledger():
             blind_until = asked
         has_state = pong.state_age_s < 4 * self._timeout_s
         self.views[member] = PeerView(blind_until, answered, has_state)
--- a/src/poppyhold/service.py
+++ b/src/poppyhold/service.py
@@ -223,6 +223,10 @@
         """Everything changed before this moment is known to us."""
         return self._watch.synced_at if self._watch is not None else self._term.began_at
 
+    def known_ledger(self) -> int:
+        """Revision up to which every cancellation is known to us."""
+        return self._watch.ledger if self._watch is not None else -1
+
     def counts(self) -> dict[str, tuple[int, int]]:
         """Done and running tasks by job, as of the last tick."""
         return self._counts
@@ -322,7 +326,7 @@
             settings,
             self._describe,
             self._counts,
-            self._synced_at,
+            self._known_ledger,
             self._on_ping,
             self._on_pong,
             self._refused,
@@ -401,9 +405,9 @@
                 self._reign.stop()
                 self._reign = None
 
-    def _synced_at(self) -> float:
+    def _known_ledger(self) -> int:
         reign = self._reign
-        return reign.synced_at() if reign is not None else self.election.watch.synced_at
+        return reign.known_ledger() if reign is not None else -1
 
     def _counts(self) -> dict[str, tuple[int, int]]:
         reign = self._reign
@@ -419,7 +423,9 @@
     def _describe(self) -> Ping:
         term = self.election.term
         age = time.monotonic() - max(self.store.contact_at, self._started_at)
-        return Ping(self.settings.member, term.baton if term else 0, term is not None, age)
+        # What a process of ours before this one told is not above the first revision that we saw.
+        told = max(self.users.told, self.election.watch.first_ledger)
+        return Ping(self.settings.member, term.baton if term else 0, term is not None, age, told)
 
     def _on_ping(self, ping: Ping) -> None:
         if ping.leading:
--- a/src/poppyhold/store.py
+++ b/src/poppyhold/store.py
@@ -180,6 +180,9 @@
         self._stop = threading.Event()
         # Everything that was changed before this moment is known here.
         self.synced_at = float("-inf")
+        # Revisions: of the first snapshot, and up to which every change is known.
+        self.first_ledger = -1
+        self.ledger = -1
         self._thread = threading.Thread(target=self._run, name=f"watch {prefix}", daemon=True)
 
     def start(self) -> Watch:
@@ -210,6 +213,9 @@
                             self._on_change(entry, entry.stamp)
                         else:
                             self._on_change(event["remove"], event["stamp"])
+                self.ledger = ledger
+                if self.first_ledger < 0:
+                    self.first_ledger = ledger
                 self.synced_at = asked
             except Gone:
                 ledger = -1
--- a/src/poppyhold/users.py
+++ b/src/poppyhold/users.py
@@ -57,6 +57,8 @@
         self._store, self._builds, self._counts = store, builds, counts
         self._quotas = Quotas(settings.settings.teams)
         self.finals = Finals(int(settings.settings.machine_limits.ram_mb * 100))
+        # Highest revision of a cancellation told here: a leader without the state service asks for it.
+        self.told = -1
         # More at once than this would only wait for the state service's limit.
         self._slots = threading.BoundedSemaphore(max(4, int(settings.settings.state.rps / 4)))
         self._patience_s = settings.settings.workers.report_s / 4
@@ -138,6 +140,7 @@
             if entry is None:
                 return None
             final = (entry.data["s"], entry.data["n"])
+            self.told = max(self.told, entry.stamp)
             self.finals.put(job_id, *final)
         status, chores = final
         return {"nameId": job_id, "status": status, "done": chores if status == "done" else 0, "running": 0}
@@ -170,10 +173,13 @@
                 continue
             try:
                 chores = entry.data["spec"]["chores"]
-                self._store.commit({ACTIVE + job_id: entry.stamp}, final_writes(job_id, "cancelled", chores))
+                ledger = self._store.commit(
+                    {ACTIVE + job_id: entry.stamp}, final_writes(job_id, "cancelled", chores)
+                )
             except (Conflict, Unsure):
                 # It moved, or may have: look again.
                 continue
+            self.told = max(self.told, ledger)
             self.finals.put(job_id, "cancelled", chores)
             return answer(200, {"nameId": job_id, "status": "cancelled"})
         return self._later()
