--- a/run.py
+++ b/run.py
@@ -5,6 +5,8 @@
 
 ROOT = Path(__file__).resolve().parent
 sys.path[:0] = [str(ROOT / "src"), str(ROOT / "target" / "deps")]
+# The build compiles everything to here: a controller may not write to the checkout.
+sys.pycache_prefix = str(ROOT / "target" / "pycache")
 
 from poppyhold.cli import main  # noqa: E402  (the path must be set first)
 
--- a/src/poppyhold/context.py
+++ b/src/poppyhold/context.py
@@ -4,12 +4,13 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any, Protocol
 
+import msgspec
+
 from poppyhold.fleet import Fleet
 from poppyhold.messages import Build, Report
-from poppyhold.options_pb2 import Options
+from poppyhold.options import Options
 from poppyhold.settings import Settings
 
 Data = dict[str, Any]
@@ -81,8 +82,7 @@
         self.slot_s = workers.lease_s * options.design.slot_leases
 
 
-@dataclass
-class Context:
+class Context(msgspec.Struct, eq=False):
     """Shared by the parts of one term's core; only the decision thread touches it."""
 
     settings: Settings
@@ -94,10 +94,10 @@
     term_baton: int
     baton: int
     times: Times
-    fleet: Fleet = field(default_factory=Fleet)
-    builds: dict[str, Build] = field(default_factory=dict)
+    fleet: Fleet = msgspec.field(default_factory=Fleet)
+    builds: dict[str, Build] = msgspec.field(default_factory=dict)
     # Machines that we deleted, and when: old lists and reports still name them.
-    dead: dict[str, float] = field(default_factory=dict)
+    dead: dict[str, float] = msgspec.field(default_factory=dict)
     dirty: bool = True
     counter: int = 0
 
--- a/src/poppyhold/controller.py
+++ b/src/poppyhold/controller.py
@@ -21,7 +21,7 @@
 )
 from poppyhold.hiring import Hiring
 from poppyhold.messages import Build, Listed, Malformed, Report, convert, parse_submission
-from poppyhold.options_pb2 import Options
+from poppyhold.options import Options
 from poppyhold.placement import Quotas
 from poppyhold.settings import Settings
 from poppyhold.store import ACTIVE, Data, Entry, final_writes, put, remove
--- a/src/poppyhold/election.py
+++ b/src/poppyhold/election.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from poppyhold.options_pb2 import Options
+from poppyhold.options import Options
 from poppyhold.settings import Settings
 from poppyhold.store import (
     BATON,
--- a/src/poppyhold/fleet.py
+++ b/src/poppyhold/fleet.py
@@ -5,7 +5,8 @@
 import heapq
 from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+
+import msgspec
 
 from poppyhold.messages import RANKS, Build, Submission, task_name
 
@@ -40,8 +41,7 @@
     return (build.cpus, build.accelerators, build.memGb)
 
 
-@dataclass(slots=True, eq=False)
-class Attempt:
+class Attempt(msgspec.Struct, eq=False):
     """One try of a task on a machine, from the moment its start may reach the worker."""
 
     job: Job
@@ -69,8 +69,7 @@
         return task_name(self.job.id, self.index)
 
 
-@dataclass(slots=True, eq=False)
-class Job:
+class Job(msgspec.Struct, eq=False):
     """An accepted job that is not over."""
 
     id: str
@@ -81,30 +80,30 @@
     rank: int
     due_at: float | None
     states: bytearray
-    active: dict[int, Attempt] = field(default_factory=dict)
+    active: dict[int, Attempt] = msgspec.field(default_factory=dict)
     done: int = 0
     # Tasks whose completion is seen but not durable yet, and those whose record has been asked for.
-    unsaved: set[int] = field(default_factory=set)
+    unsaved: set[int] = msgspec.field(default_factory=set)
     next_index: int = 0
-    returned: list[int] = field(default_factory=list)
+    returned: list[int] = msgspec.field(default_factory=list)
     admitted: bool = False
     # No controller has ever started a task of it before our term.
     fresh: bool = True
     plan_durable: bool = False
     plan_asked: bool = False
     # Planned starts: slot -> zone -> tasks, and their rooms in the ledger: slot -> machine -> tasks.
-    plan: dict[int, dict[str, int]] = field(default_factory=dict)
-    booked: dict[int, dict[str, int]] = field(default_factory=dict)
+    plan: dict[int, dict[str, int]] = msgspec.field(default_factory=dict)
+    booked: dict[int, dict[str, int]] = msgspec.field(default_factory=dict)
     planned_s: float = 0.0
     guaranteed: bool = False
     finishing: bool = False
     # Cancelled, or done and durable: kept only while something of it may still run.
     over: bool = False
     saving: bool = False
-    saved_chunks: set[int] = field(default_factory=set)
+    saved_chunks: set[int] = msgspec.field(default_factory=set)
     failures: int = 0
     retry_at: float = 0.0
-    zones: dict[str, int] = field(default_factory=dict)
+    zones: dict[str, int] = msgspec.field(default_factory=dict)
 
     @property
     def service(self) -> bool:
@@ -147,8 +146,7 @@
         heapq.heappush(self.returned, index)
 
 
-@dataclass(slots=True, eq=False)
-class Machine:
+class Machine(msgspec.Struct, eq=False):
     """A machine that we hold, or may hold."""
 
     name: str
@@ -178,15 +176,15 @@
     shaky_until: float = 0.0
     do_busy: bool = False
     probe_at: float = 0.0
-    attempts: dict[str, Attempt] = field(default_factory=dict)
+    attempts: dict[str, Attempt] = msgspec.field(default_factory=dict)
     used: Room = NOTHING
-    images: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    images: OrderedDict[str, float] = msgspec.field(default_factory=OrderedDict)
     # Orders for the worker: directly, and with the next answer to its reports.
-    direct: list[dict[str, object]] = field(default_factory=list)
-    errors: set[str] = field(default_factory=set)
+    direct: list[dict[str, object]] = msgspec.field(default_factory=list)
+    errors: set[str] = msgspec.field(default_factory=set)
     idle_since: float = 0.0
     # Tasks on it that are none of ours: they are stopped, and nothing starts beside them.
-    strangers: set[str] = field(default_factory=set)
+    strangers: set[str] = msgspec.field(default_factory=set)
     refused_until: float = 0.0
 
     @property
--- a/src/poppyhold/hiring.py
+++ b/src/poppyhold/hiring.py
@@ -4,7 +4,8 @@
 
 import logging
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from poppyhold.attempts import Attempts
 from poppyhold.context import OK, REFUSED, Context
@@ -19,8 +20,7 @@
 DELETE_LIMIT = 100
 
 
-@dataclass(slots=True)
-class Hire:
+class Hire(msgspec.Struct, eq=False):
     """A rental request, durable under its name before it is sent."""
 
     name: str
--- a/src/poppyhold/options.py
+++ b/src/poppyhold/options.py
@@ -4,11 +4,49 @@
 
 from pathlib import Path
 
-from google.protobuf import text_format
+import msgspec
 
-from poppyhold.options_pb2 import Options
 from poppyhold.settings import ConfigError
 
+
+class Design(msgspec.Struct, frozen=True):
+    """How room is priced and planned."""
+
+    slot_leases: float = 6.0
+    horizon_slots: int = 16
+    work_units: int = 16
+    weight_critical: float = 8.0
+    weight_high: float = 4.0
+    weight_standard: float = 2.0
+    weight_best_effort: float = 1.0
+    lowest_price: float = 0.5
+    late_value: float = 0.5
+
+
+class Leadership(msgspec.Struct, frozen=True):
+    """How fast a lost leader or worker is noticed."""
+
+    term_leases: float = 0.25
+    renewals: float = 4.0
+    silent_reports: float = 3.5
+
+
+class Provisioning(msgspec.Struct, frozen=True):
+    """How machines are rented and returned."""
+
+    headroom: float = 1.0
+    keep_boots: float = 1.0
+    give_up_boots: float = 4.0
+
+
+class Options(msgspec.Struct, frozen=True):
+    """All of them."""
+
+    design: Design = Design()
+    leadership: Leadership = Leadership()
+    provisioning: Provisioning = Provisioning()
+
+
 # Field, lowest and highest value that make sense.
 _BOUNDS = {
     "design.slot_leases": (0.5, 1000.0),
@@ -31,17 +69,30 @@
 
 def parse_options(text: str) -> Options:
     """Parse and check options; fields that are left out have their defaults."""
-    options = Options()
+    if all(not line.strip() or line.lstrip().startswith("#") for line in text.splitlines()):
+        # Nothing is set. A controller that restarts is waited for, and loading protobuf takes a good
+        # part of its start.
+        return Options()
+    from google.protobuf import text_format
+
+    from poppyhold.options_pb2 import Options as Message
+
+    message = Message()
     try:
-        text_format.Parse(text, options)
+        text_format.Parse(text, message)
     except text_format.ParseError as error:
         raise ConfigError(str(error)) from error
+    values: dict[str, dict[str, float]] = {}
     for name, (low, high) in _BOUNDS.items():
         section, field = name.split(".")
-        value = getattr(getattr(options, section), field)
+        part = getattr(message, section)
+        if not part.HasField(field):
+            continue
+        value = getattr(part, field)
         if not low <= value <= high:
             raise ConfigError(f"{name}: must be within {low} and {high}")
-    return options
+        values.setdefault(section, {})[field] = value
+    return msgspec.convert(values, Options)
 
 
 def load_options(path: str | Path | None) -> Options:
--- a/src/poppyhold/placement.py
+++ b/src/poppyhold/placement.py
@@ -3,18 +3,18 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+
+import msgspec
 
 from poppyhold.fleet import Attempt, Job, Machine, Room, fits, plus, zone_limit
 from poppyhold.settings import Team
 
 
-@dataclass
-class Choice:
+class Choice(msgspec.Struct, eq=False):
     """A machine for a task, with the attempts that must go first."""
 
     machine: Machine
-    victims: list[Attempt] = field(default_factory=list)
+    victims: list[Attempt] = msgspec.field(default_factory=list)
 
 
 class Quotas:
--- a/src/poppyhold/planner.py
+++ b/src/poppyhold/planner.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+
+import msgspec
 
 from poppyhold.fleet import Job, Room, how_many, zone_limit
 from poppyhold.ledger import Ledger, Row
@@ -12,12 +13,11 @@
 INFINITE = float("inf")
 
 
-@dataclass
-class Plan:
+class Plan(msgspec.Struct, eq=False):
     """Tasks per slot and machine, with the payoff of booking them."""
 
     payoff: float
-    starts: dict[int, dict[str, int]] = field(default_factory=dict)
+    starts: dict[int, dict[str, int]] = msgspec.field(default_factory=dict)
 
     def zones(self, ledger: Ledger) -> dict[int, dict[str, int]]:
         """Task counts per slot and zone: what is durable of a plan."""
@@ -30,8 +30,7 @@
         return result
 
 
-@dataclass(frozen=True)
-class Offer:
+class Offer(msgspec.Struct, frozen=True):
     """Room for up to ``most`` tasks on a machine, at a price for each."""
 
     cost: float
--- a/src/poppyhold/pricing.py
+++ b/src/poppyhold/pricing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from poppyhold.fleet import Job, Room
-from poppyhold.options_pb2 import Design
+from poppyhold.options import Design
 
 
 class Pricing:
--- a/src/poppyhold/provisioning.py
+++ b/src/poppyhold/provisioning.py
@@ -5,11 +5,12 @@
 import math
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from poppyhold.fleet import Job, Machine, Room, allowed_builds, fits, how_many, plus, room_of, zone_limit
 from poppyhold.messages import Build, Submission
-from poppyhold.options_pb2 import Provisioning as ProvisioningOptions
+from poppyhold.options import Provisioning as ProvisioningOptions
 from poppyhold.pricing import shares_of
 
 HIRE_LIMIT = 50
@@ -17,8 +18,7 @@
 _PARTS = 6
 
 
-@dataclass(slots=True)
-class Demand:
+class Demand(msgspec.Struct, eq=False):
     """Tasks of one shape that need room."""
 
     spec: Submission
@@ -28,8 +28,7 @@
     forecast: bool = False
 
 
-@dataclass(slots=True)
-class Space:
+class Space(msgspec.Struct, eq=False):
     """Free room of one machine that is held or coming."""
 
     machine: Machine | None
@@ -40,8 +39,7 @@
     used: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Purchase:
+class Purchase(msgspec.Struct, frozen=True):
     """Machines to rent."""
 
     build: str
--- a/src/poppyhold/service.py
+++ b/src/poppyhold/service.py
@@ -19,7 +19,7 @@
 from poppyhold.election import Election, Leader, Term
 from poppyhold.http import Answer, Server, answer
 from poppyhold.messages import Build, Builds, Malformed, Report, convert, decode, parse_report
-from poppyhold.options_pb2 import Options
+from poppyhold.options import Options
 from poppyhold.peers import Peers, Ping, Pong
 from poppyhold.settings import Settings, split_address
 from poppyhold.store import (
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -10,7 +10,7 @@
 from poppyhold.fleet import Job, fits, make_job, plus
 from poppyhold.ledger import Ledger
 from poppyhold.messages import Submission
-from poppyhold.options_pb2 import Design
+from poppyhold.options import Design
 from poppyhold.planner import Planner
 from poppyhold.pricing import Pricing, shares_of
 
