--- a/src/poppyhold/admission.py
+++ b/src/poppyhold/admission.py
@@ -2,18 +2,21 @@
 
 from __future__ import annotations
 
+import logging
 import math
 
 from poppyhold.attempts import Attempts
 from poppyhold.context import Context
 from poppyhold.fleet import NOTHING, Attempt, Job, Machine, Room, how_many, plus, zone_limit
 from poppyhold.ledger import Ledger
-from poppyhold.placement import Choice, Placement, Quotas, may_use
+from poppyhold.placement import Choice, Placement, Quotas, fetch_wait, may_use
 from poppyhold.planner import Plan, Planner
 from poppyhold.pricing import Pricing
 from poppyhold.store import ACTIVE as ACTIVE_KEYS
 from poppyhold.store import PLAN, Data, put
 
+log = logging.getLogger(__name__)
+
 
 class Estimates:
     """How far owners' estimates are off, by class: a moving mean of the ratio's logarithm."""
@@ -50,6 +53,12 @@
         self.estimates = Estimates()
         self.ledger.first = self._slot()
         self._released = True
+        # What users expect of a class: seconds within which its tasks should have started.
+        self._aims = {
+            objective.lot: objective.within_s
+            for objective in ctx.settings.settings.objectives
+            if objective.kind == "wait" and objective.lot is not None and objective.within_s is not None
+        }
 
     def _slot(self) -> int:
         return int(self._ctx.wall() / self._ctx.times.slot_s)
@@ -147,6 +156,8 @@
         """A new job: admit it if its value beats the priced room; else it waits."""
         self._try_admit(job)
         self._write(job)
+        spec = job.spec
+        log.debug("job %s: %s, %d tasks, admitted %s", job.id, spec.lot, spec.chores, job.admitted)
 
     def _try_admit(self, job: Job) -> bool:
         tasks = job.pending
@@ -271,14 +282,26 @@
             own = reserved
             if reserved is not None and job.booked.get(self.ledger.first):
                 own = self._without(reserved, job)
-            choice = self.placement.best(job, machines, own)
-            if choice is None:
-                choice = self.placement.preempt(job, machines)
+            choice = self._choose(job, machines, own)
             if choice is None:
                 return
             most -= 1
             self._start(job, index, choice)
 
+    def _choose(self, job: Job, machines: list[Machine], reserved: dict[str, Room] | None) -> Choice | None:
+        """The best machine with room; else, or where its image would come too late, one that makes room."""
+        choice = self.placement.best(job, machines, reserved)
+        if choice is None:
+            return self.placement.preempt(job, machines)
+        aim = self._aims.get(job.spec.lot)
+        if aim is None or fetch_wait(choice.machine, job) <= aim:
+            return choice
+        holding = [machine for machine in machines if job.spec.bundle in machine.images]
+        other = self.placement.preempt(job, holding)
+        if other is None or any(victim.job.service for victim in other.victims):
+            return choice
+        return other
+
     def _gang_fits(
         self, job: Job, machines: list[Machine], reserved: dict[str, Room] | None, extra: Room
     ) -> bool:
--- a/src/poppyhold/attempts.py
+++ b/src/poppyhold/attempts.py
@@ -149,6 +149,7 @@
                 attempt.status = chore.status
                 if chore.status == "running":
                     attempt.running_at = attempt.running_at or now
+                    log.debug("%s runs, %.1f s behind its start", attempt.name, now - attempt.sent_at)
                     machine.touch_image(attempt.job.spec.bundle, attempt.job.spec.sizeGb)
             return
         if attempt is None and job is not None and 0 <= index < job.spec.chores and not job.active.get(index):
--- a/src/poppyhold/placement.py
+++ b/src/poppyhold/placement.py
@@ -175,9 +175,12 @@
     @staticmethod
     def _loss(victim: Attempt) -> float:
         """Work lost with a victim, roughly: what it ran since it began or last saved."""
+        spec = victim.job.spec
+        if victim.job.service:
+            # Somebody waits for a replica all the time; an array's task only at its end.
+            return victim.machine.build.startupS
         if victim.running_at is None:
             return 0.0
-        spec = victim.job.spec
         return spec.bookmarkS / 2 if spec.bookmarkS > 0 else spec.guessS / 2
 
     def _victims(self, job: Job, machine: Machine) -> list[Attempt] | None:
