--- a/src/poppyhold/admission.py
+++ b/src/poppyhold/admission.py
@@ -40,6 +40,14 @@
         return max(0.1, job.spec.guessS * math.exp(mean * trust))
 
 
+def _room_for(job: Job, machine: Machine, reserved: dict[str, Room] | None) -> int:
+    """How many of the job's pending tasks fit on a machine now, beside what is reserved."""
+    free = machine.free
+    if reserved and machine.name in reserved:
+        free = plus(free, reserved[machine.name], -1.0)
+    return how_many(job.need, free, job.pending)
+
+
 class Admission:
     """Plans jobs on priced room, and starts what plans or spare room allow."""
 
@@ -272,6 +280,9 @@
         used = ctx.fleet.used
         if job.gang and not self._gang_fits(job, machines, reserved, extra):
             return
+        # Machines that did not get our commands lately come last.
+        now = ctx.clock()
+        steady = [machine for machine in machines if machine.shaky_until <= now]
         while most > 0:
             index = job.next_pending()
             if index is None:
@@ -282,7 +293,7 @@
             own = reserved
             if reserved is not None and job.booked.get(self.ledger.first):
                 own = self._without(reserved, job)
-            choice = self._choose(job, machines, own)
+            choice = self._choose(job, steady, own) or self._choose(job, machines, own)
             if choice is None:
                 return
             most -= 1
@@ -290,6 +301,8 @@
 
     def _choose(self, job: Job, machines: list[Machine], reserved: dict[str, Room] | None) -> Choice | None:
         """The best machine with room; else, or where its image would come too late, one that makes room."""
+        if job.spec.samePlace and not job.active:
+            machines = self._home(job, machines, reserved)
         choice = self.placement.best(job, machines, reserved)
         if choice is None:
             return self.placement.preempt(job, machines)
@@ -302,6 +315,16 @@
             return choice
         return other
 
+    @staticmethod
+    def _home(job: Job, machines: list[Machine], reserved: dict[str, Room] | None) -> list[Machine]:
+        """The machines of the zone with the most room, for a job that has to stay in one."""
+        rooms: dict[str, int] = {}
+        for machine in machines:
+            if may_use(job, machine):
+                rooms[machine.zone] = rooms.get(machine.zone, 0) + _room_for(job, machine, reserved)
+        best = max(rooms, key=lambda zone: (rooms[zone], zone), default=None)
+        return [machine for machine in machines if machine.zone == best]
+
     def _gang_fits(
         self, job: Job, machines: list[Machine], reserved: dict[str, Room] | None, extra: Room
     ) -> bool:
@@ -319,11 +342,7 @@
         zones: dict[str, int] = {}
         for machine in machines:
             if may_use(job, machine):
-                free = machine.free
-                if reserved and machine.name in reserved:
-                    free = plus(free, reserved[machine.name], -1.0)
-                room = how_many(job.need, free, job.pending)
-                zones[machine.zone] = zones.get(machine.zone, 0) + room
+                zones[machine.zone] = zones.get(machine.zone, 0) + _room_for(job, machine, reserved)
         limit = zone_limit(job.spec)
         if job.spec.samePlace:
             return max(zones.values(), default=0) >= job.pending
--- a/src/poppyhold/attempts.py
+++ b/src/poppyhold/attempts.py
@@ -99,7 +99,10 @@
         """Take a report that is newer than all before it as the truth about its machine."""
         ctx = self._ctx
         if report.shift > machine.shift:
-            # A later session began with nothing: whatever an earlier one held is over.
+            # A later session began with nothing: whatever an earlier one held is over. If we answered
+            # all the while, our answers do not reach it, and it had better not be relied on.
+            if machine.heard and now - machine.last_report < ctx.times.lease_s / 2:
+                machine.shaky_until = now + ctx.times.cancel_s
             for attempt in list(machine.attempts.values()):
                 if attempt.shift < report.shift:
                     self._over(attempt, now)
--- a/src/poppyhold/context.py
+++ b/src/poppyhold/context.py
@@ -54,6 +54,9 @@
     def over(self, job_id: str, status: str, chores: int) -> None:
         """The final state of a job is durable."""
 
+    def peers_hear(self) -> int:
+        """How many workers have turned to another controller lately."""
+
     def may_start(self) -> bool:
         """Whether our leadership was confirmed lately enough to start tasks."""
 
--- a/src/poppyhold/hiring.py
+++ b/src/poppyhold/hiring.py
@@ -9,7 +9,7 @@
 
 from poppyhold.attempts import Attempts
 from poppyhold.context import OK, REFUSED, Context
-from poppyhold.fleet import NOTHING, Machine, room_of
+from poppyhold.fleet import NOTHING, Attempt, Machine, room_of
 from poppyhold.messages import Listed
 from poppyhold.packing import Packing
 from poppyhold.provisioning import Arrivals, Demand, Provisioning, Purchase, Space, demand_of, space_of
@@ -191,6 +191,9 @@
         up = 0
         for machine in ctx.fleet.machines.values():
             if machine.deleting:
+                # The cloud may not answer for long; the end of a lease is proof too.
+                if now - machine.last_report > times.lease_s:
+                    self._attempts.expire(machine, now)
                 continue
             if not machine.up and machine.name not in self._attempts.unheard:
                 if now - machine.since > self._provisioning.give_up_s(machine.build):
@@ -210,11 +213,12 @@
             if len(machine.errors) > 1:
                 # Different jobs fail on it: the machine is at fault.
                 machine.leaving = True
-        if len(silent) * 2 >= up and len(silent) > 2:
-            # Most are silent to us: it is our own way to them that is broken.
+        if len(silent) * 2 >= up and len(silent) > 1 and ctx.edges.peers_hear() > 0:
+            # They try the other controllers: it is our own way to them that is broken.
             ctx.edges.resign("most workers are silent")
-        elif len(silent) <= max(3, up // 4):
-            for machine in silent:
+        for machine in silent:
+            long_ago = now - max(machine.last_report, machine.up_at, began) > 2 * times.lease_s
+            if len(silent) <= max(1, up // 4) or long_ago:
                 self._condemn(machine, "silent")
         for machine in ctx.fleet.machines.values():
             if (
@@ -283,7 +287,12 @@
         if self._attempts.unheard or any(j.pending > 0 and not j.over for j in ctx.fleet.jobs.values()):
             return
         most = max(1, len(machines) // 16)
-        for machine in Packing(most).choose(spaces, lambda m: m.usable(now, ctx.times.silent_s)):
+
+        def settled(attempt: Attempt) -> bool:
+            # A start that is stopped soon was none to its user.
+            return attempt.running_at is not None and now - attempt.running_at > 2 * ctx.times.cancel_s
+
+        for machine in Packing(most, settled).choose(spaces, lambda m: m.usable(now, ctx.times.silent_s)):
             machine.draining = True
             log.info("empty %s: %d replicas", machine.name, len(machine.attempts))
         moving = {
--- a/src/poppyhold/packing.py
+++ b/src/poppyhold/packing.py
@@ -13,8 +13,8 @@
 class Packing:
     """Chooses machines to empty. What the forecast and waiting work need is left free."""
 
-    def __init__(self, most: int) -> None:
-        self._most = most
+    def __init__(self, most: int, settled: Callable[[Attempt], bool]) -> None:
+        self._most, self._settled = most, settled
 
     def choose(self, spaces: Iterable[Space], ready: Callable[[Machine], bool]) -> list[Machine]:
         """Machines whose replicas all fit, with their images, on machines that stay."""
@@ -31,6 +31,9 @@
             machine = space.machine
             if machine is None or machine.draining or self._load(space) > _LOAD:
                 continue
+            if space.free != machine.free:
+                # Waiting work or the forecast counts on it: it would be rented again at once.
+                continue
             others = [
                 other
                 for other in held
@@ -54,11 +57,10 @@
             default=0.0,
         )
 
-    @staticmethod
-    def _movable(machine: Machine) -> bool:
-        """Only running replicas move; a machine with array tasks is left until they are done."""
+    def _movable(self, machine: Machine) -> bool:
+        """Only settled replicas move; a machine with array tasks is left until they are done."""
         return bool(machine.attempts) and all(
-            attempt.job.service and attempt.status == "running" and attempt.stopping_at is None
+            attempt.job.service and attempt.stopping_at is None and self._settled(attempt)
             for attempt in machine.attempts.values()
         )
 
--- a/src/poppyhold/peers.py
+++ b/src/poppyhold/peers.py
@@ -32,6 +32,7 @@
     state_age_s: float
     # Highest revision of a cancellation that the sender told a user; -1: it can't know.
     told: int
+    workers: int
     counts: list[Count] = []
 
 
@@ -43,6 +44,8 @@
     leading: bool
     state_age_s: float
     told: int
+    # Workers that turned to it lately.
+    workers: int
 
 
 Message = Ping | Pong
@@ -82,6 +85,7 @@
     # Moment of the last answer, and whether it had the state service then.
     heard_at: float
     has_state: bool
+    workers: int
 
 
 class Peers:
@@ -147,7 +151,9 @@
                         raise ValueError("not a ping")
                     self._on_ping(message)
                     us = self._describe()
-                    send(connection, Pong(us.member, us.baton, us.leading, us.state_age_s, us.told))
+                    send(
+                        connection, Pong(us.member, us.baton, us.leading, us.state_age_s, us.told, us.workers)
+                    )
         except (OSError, ValueError, msgspec.MsgspecError) as error:
             log.debug("peer connection: %s", error)
         except Exception:
@@ -197,4 +203,4 @@
         if 0 <= pong.told <= self._known_ledger():
             blind_until = asked
         has_state = pong.state_age_s < 4 * self._timeout_s
-        self.views[member] = PeerView(blind_until, answered, has_state)
+        self.views[member] = PeerView(blind_until, answered, has_state, pong.workers)
--- a/src/poppyhold/service.py
+++ b/src/poppyhold/service.py
@@ -289,6 +289,10 @@
         """See `Edges`."""
         self._node.users.finals.put(job_id, status, chores)
 
+    def peers_hear(self) -> int:
+        """See `Edges`."""
+        return max((view.workers for view in self._node.peers.views.values()), default=0)
+
     def may_start(self) -> bool:
         """See `Edges`."""
         election = self._node.election
@@ -317,6 +321,7 @@
         self._builds_published: object = None
         self._peer_counts: dict[str, tuple[int, int]] = {}
         self.users = Users(settings, self.store, lambda: self.builds, self._count)
+        self._passed_on: dict[str, float] = {}
         self._reign: Reign | None = None
         self._reign_lock = threading.Lock()
         self._stop = threading.Event()
@@ -425,7 +430,10 @@
         age = time.monotonic() - max(self.store.contact_at, self._started_at)
         # What a process of ours before this one told is not above the first revision that we saw.
         told = max(self.users.told, self.election.watch.first_ledger)
-        return Ping(self.settings.member, term.baton if term else 0, term is not None, age, told)
+        # Workers that were passed on in the last moments, while we don't lead.
+        recent = time.monotonic() - self.settings.settings.workers.lease_s / 2
+        workers = sum(1 for at in list(self._passed_on.values()) if at > recent)
+        return Ping(self.settings.member, term.baton if term else 0, term is not None, age, told, workers)
 
     def _on_ping(self, ping: Ping) -> None:
         if ping.leading:
@@ -473,6 +481,12 @@
                 return self.users.abort(job_id) if method == "POST" else self._wrong("POST")
         return answer(404, {"error": "no such path"})
 
+    def _pass_on(self, box: str) -> None:
+        self._passed_on.pop(box, None)
+        self._passed_on[box] = time.monotonic()
+        if len(self._passed_on) > self.settings.settings.machine_limits.max_sockets:
+            self._passed_on.pop(next(iter(self._passed_on)), None)
+
     @staticmethod
     def _wrong(allowed: str) -> Answer:
         return answer(405, {"error": "method"}, Allow=allowed)
@@ -497,6 +511,7 @@
                 return answer(200, reply)
             if self._reign is reign:
                 return answer(503, {"error": "not entitled now"})
+        self._pass_on(report.box)
         leader = self.election.leader
         if leader is None or leader.member == self.settings.member:
             return answer(421)
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,227 @@
+"""Runs every scenario in scenarios/; scenarios/README.md tells their words."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from poppyhold.attempts import Attempts
+from poppyhold.authority import Authority
+from poppyhold.hiring import Hiring
+from poppyhold.placement import Quotas
+from poppyhold.settings import Team
+from world import World, submission
+
+FOLDER = Path(__file__).parent / "scenarios"
+SCENARIOS = sorted(FOLDER.glob("*.txt"))
+
+
+class Scenario:
+    """One file: a world, what happens in it, and what must come of it."""
+
+    def __init__(self, path: Path, seed: int) -> None:
+        self.lines = [
+            line.split("#")[0].split() for line in path.read_text().splitlines() if line.split("#")[0].strip()
+        ]
+        head = {}
+        for words in self.lines:
+            if words[0] == "world":
+                head = dict(word.split("=") for word in words[1:])
+        limit = float(head.get("limit", 0))
+        guaranteed = float(head.get("guaranteed", 8))
+        teams = [Team("alpha", gpus=guaranteed, gpus_max=limit), Team("beta", gpus=8, gpus_max=0)]
+        self.world = World(seed, float(head.get("lease_s", 10)), float(head.get("cancel_s", 30)), teams)
+        self.failures: list[str] = []
+
+    def play(self) -> None:
+        """Carry out the lines in order; times are absolute."""
+        for line in self.lines:
+            words = line
+            if line[0] == "at":
+                self.world.run(float(line[1]))
+                words = line[2:]
+            getattr(self, f"do_{words[0]}")(*words[1:])
+
+    # -- what there is -------------------------------------------------------------------------------
+
+    def do_world(self, *fields: str) -> None:
+        """Figures of the deployment; read before anything else."""
+
+    def do_capacity(self, build: str, zone: str, kind: str, number: str) -> None:
+        self.world.cloud.capacity[(build, zone, kind == "spot")] = int(number)
+
+    def do_machines(self, build: str, zone: str, kind: str, number: str) -> None:
+        for _ in range(int(number)):
+            self.world.add_worker(self.world.cloud.add(build, zone, kind == "spot", "running"))
+
+    # -- what happens --------------------------------------------------------------------------------
+
+    def do_submit(self, job_id: str, *fields: str) -> None:
+        values = dict(field.split("=") for field in fields)
+        self.world.submit(submission(job_id, {key: _value(text) for key, text in values.items()}))
+
+    def do_cancel(self, job_id: str) -> None:
+        self.world.cancel(job_id)
+
+    def _nodes(self, which: str) -> list[Any]:
+        world = self.world
+        if which == "all":
+            return list(world.nodes)
+        leader = world.leader()
+        if which == "leader":
+            return [leader] if leader is not None else []
+        if which == "others":
+            return [node for node in world.nodes if node is not leader]
+        return [world.nodes[int(which)]]
+
+    def do_crash(self, which: str, word: str = "for", seconds: str = "5") -> None:
+        for node in self._nodes(which):
+            node.crash(float(seconds))
+
+    def do_roll(self, every: str) -> None:
+        for index, node in enumerate(self.world.nodes):
+            self.world.after(index * float(every), lambda node=node: node.crash(3.0))  # type: ignore[misc]
+
+    def _for_a_while(self, node: Any, name: str, seconds: str) -> None:
+        setattr(node, name, True)
+        self.world.after(float(seconds), lambda: setattr(node, name, False))
+
+    def do_refuse(self, which: str, word: str, seconds: str) -> None:
+        for node in self._nodes(which):
+            self._for_a_while(node, "refused", seconds)
+
+    def do_isolate(self, which: str, word: str, seconds: str) -> None:
+        """The node keeps its workers, and loses the state service and the other nodes."""
+        for node in self._nodes(which):
+            self._for_a_while(node, "refused", seconds)
+            self._for_a_while(node, "cut_peers", seconds)
+
+    def do_unreach(self, which: str, word: str, seconds: str) -> None:
+        """The node loses the workers."""
+        for node in self._nodes(which):
+            self._for_a_while(node, "cut_workers", seconds)
+
+    def do_lose_answers(self, which: str, number: str) -> None:
+        for node in self._nodes(which):
+            node.lose_answers = int(number)
+
+    def do_lose_hires(self, number: str) -> None:
+        self.world.lose_hires = int(number)
+
+    def do_outage(self, what: str, word: str, seconds: str) -> None:
+        world = self.world
+        if what == "state":
+            world.state.down = True
+            world.after(float(seconds), world.state.end_outage)
+        else:
+            world.cloud.down = True
+            world.after(float(seconds), lambda: setattr(world.cloud, "down", False))
+
+    def do_trouble(self, kind: str, machine: str, word: str, seconds: str) -> None:
+        """A kind of trouble with a machine, or with all; the kinds are in scenarios/README.md."""
+        names = list(self.world.workers) if machine == "all" else [machine]
+        for name in names:
+            self.world.troubles.setdefault(name, set()).add(kind)
+            self.world.after(
+                float(seconds),
+                lambda name=name: self.world.troubles[name].discard(kind),  # type: ignore[misc]
+            )
+
+    def do_die(self, machine: str) -> None:
+        self.world.end_worker(machine)
+
+    def do_recall(self, machine: str, notice: str, real: str) -> None:
+        worker = self.world.workers[machine]
+        worker.recall_s = float(notice)
+        self.world.after(float(real), lambda: self._take_back(machine))
+
+    def _take_back(self, machine: str) -> None:
+        self.world.end_worker(machine)
+        self.world.cloud.machines.pop(machine, None)
+
+    def do_boots_fail(self, number: str) -> None:
+        self.world.cloud.failing = int(number)
+
+    def do_copies(self, state: str) -> None:
+        self.world.copying = state == "on"
+
+    # -- what must be --------------------------------------------------------------------------------
+
+    def _expect(self, holds: bool, text: str) -> None:
+        if not holds:
+            self.failures.append(f"at {self.world.now:.1f}: {text}")
+
+    def do_expect(self, what: str, *words: str) -> None:
+        world = self.world
+        if what == "told":
+            self._expect(world.told.get(words[0]) == words[1], f"{words[0]} is {world.told.get(words[0])}")
+        elif what == "up":
+            up = {t for w in world.workers.values() for t in w.on_machine() if t.startswith(words[0] + "/")}
+            self._expect(len(up) == int(words[1]), f"{words[0]} has {len(up)} tasks up")
+        elif what == "starts":
+            most = max((n for t, n in world.starts.items() if t.startswith(words[0] + "/")), default=0)
+            self._expect(most <= int(words[1]), f"a task of {words[0]} started {most} times")
+        elif what == "machines":
+            number = len(world.workers)
+            self._expect(int(words[0]) <= number <= int(words[1]), f"{number} machines")
+        elif what == "zone":
+            zones = {w.zone for w in world.workers.values() for t in w.on_machine() if t.startswith(words[0])}
+            self._expect(zones == set(words[1].split(",")), f"{words[0]} is in {zones}")
+        elif what == "leader":
+            self._expect((world.leader() is not None) == (words[0] == "yes"), "leader")
+        else:
+            raise ValueError(what)
+
+
+def _value(text: str) -> object:
+    if text in ("true", "false"):
+        return text == "true"
+    if text.replace(".", "", 1).isdigit():
+        return float(text) if "." in text else int(text)
+    return text.split(",") if "," in text else text
+
+
+@pytest.mark.parametrize("path", SCENARIOS, ids=lambda path: path.stem)
+@pytest.mark.parametrize("seed", [1, 2])
+def test_scenario(path: Path, seed: int) -> None:
+    scenario = Scenario(path, seed)
+    scenario.play()
+    assert scenario.world.broken == []
+    assert scenario.failures == []
+
+
+def _always(*_: object) -> bool:
+    return True
+
+
+def _count_nothing(self: Hiring, name: str, data: object) -> None:
+    """Hires of earlier leaders are forgotten."""
+
+
+# Guard that is taken out -> scenario that must then break a rule or miss what it expects.
+GUARDS: list[tuple[str, type, str, Callable[..., object]]] = [
+    ("late_run_after_cancel", Attempts, "raise_baton", _always),
+    ("held_start_after_leader_change", Attempts, "_absence_proves", _always),
+    ("limit_while_unreachable", Quotas, "allows", _always),
+    ("isolated_leader", Authority, "may_answer", _always),
+    ("lost_hire_answer", Hiring, "load_hire", _count_nothing),
+    ("done_before_reap", Attempts, "_may_reap", _always),
+]
+
+
+@pytest.mark.parametrize("guard", GUARDS, ids=lambda guard: f"{guard[1].__name__}.{guard[2]}")
+def test_scenario_fails_without_its_guard(
+    guard: tuple[str, type, str, Callable[..., object]], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    name, owner, method, stub = guard
+    stub = staticmethod(stub) if isinstance(owner.__dict__[method], staticmethod) else stub
+    monkeypatch.setattr(owner, method, stub)
+    outcomes = []
+    for seed in (1, 2, 3, 4):
+        scenario = Scenario(FOLDER / f"{name}.txt", seed)
+        scenario.play()
+        outcomes += scenario.world.broken + scenario.failures
+    assert outcomes != []
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,690 @@
+"""A simulated deployment in virtual time: the real decision core and users' edge on stand-ins.
+
+It checks PROTOCOL's rules all along; what breaks one is added to ``World.broken``.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from poppyhold.authority import Authority
+from poppyhold.context import OK, REFUSED, UNSENT, UNSURE
+from poppyhold.controller import Controller, Snapshot
+from poppyhold.http import Answer
+from poppyhold.messages import Build, Listed, Report, convert, encode, parse_report
+from poppyhold.options import Options
+from poppyhold.peers import PeerView
+from poppyhold.settings import Cloud as CloudLimits
+from poppyhold.settings import Deployment as DeploymentSettings
+from poppyhold.settings import Known, Outside, Settings, Team, Workers
+from poppyhold.store import (
+    ACTIVE,
+    BATON,
+    DONE,
+    HIRE,
+    LEAD,
+    MACHINE,
+    PLAN,
+    Conflict,
+    Entry,
+    Refused,
+    Store,
+    Unsure,
+    grouped,
+    put,
+)
+from poppyhold.users import Users
+from standins import CloudStandIn, StateStandIn, WorkerStandIn
+
+Data = dict[str, Any]
+ZONES = ["a", "b"]
+STEP_S = 0.05
+# How late a command is that the network holds back while others pass.
+LATE_S = 40.0
+
+
+def build_data(name: str, accelerators: float, boot_s: float) -> Data:
+    """A machine type."""
+    return {
+        "name": name,
+        "cpus": 4 * accelerators,
+        "accelerators": accelerators,
+        "memGb": 32 * accelerators,
+        "localGb": 100.0,
+        "pullGbPerS": 5.0,
+        "rate": 3.0 * accelerators,
+        "marketPrice": 1.0 * accelerators,
+        "startupS": boot_s,
+        "paddocks": ZONES,
+    }
+
+
+class SimStore(Store):
+    """The state client of a simulated node: calls are carried out at once, or refused."""
+
+    def __init__(self, node: SimNode) -> None:
+        self._node = node
+        self.timeout = 1.0
+        self.contact_at = float("-inf")
+
+    def _state(self) -> StateStandIn:
+        world = self._node.world
+        if world.state.down or self._node.refused or not self._node.alive:
+            raise Refused("503")
+        self.contact_at = world.now
+        return world.state
+
+    def get(self, key: str) -> Entry | None:
+        status, body = self._state().get(key)
+        return Entry(key, body["data"], body["stamp"]) if status == 200 else None
+
+    def scan(self, prefix: str) -> tuple[list[Entry], int]:
+        _, body = self._state().scan(prefix, "", 100_000)
+        return [Entry(e["key"], e["data"], e["stamp"]) for e in body["entries"]], body["ledger"]
+
+    def commit(self, conditions: dict[str, int], writes: list[Data]) -> int:
+        body = {"if": [{"key": k, "stamp": s} for k, s in conditions.items()], "writes": writes}
+        status, answer = self._state().commit(body)
+        if status == 409:
+            raise Conflict(answer["failed"])
+        if status != 200:
+            raise Refused(str(answer))
+        if self._node.lose_answers > 0:
+            self._node.lose_answers -= 1
+            raise Unsure("lost")
+        return int(answer["ledger"])
+
+
+class SimReign:
+    """The edges of one term, with latencies, losses and late deliveries."""
+
+    def __init__(self, node: SimNode, baton: int, stamp: int, permit: int) -> None:
+        self.node, self.world = node, node.world
+        self.baton, self.stamp, self.permit = baton, stamp, permit
+        self.alive = True
+        self.confirmed = self.world.now
+        self.synced = self.world.now
+        self.ledger = -1
+        world = self.world
+        self.controller = Controller(
+            world.settings, Options(), self, baton, lambda: world.now, lambda: world.now, world.rng
+        )
+        store = node.store
+        active, self.ledger = store.scan(ACTIVE)
+        snapshot = Snapshot(
+            active,
+            grouped(store.scan(PLAN)[0], PLAN),
+            grouped(store.scan(DONE)[0], DONE),
+            grouped(store.scan(HIRE)[0], HIRE),
+            grouped(store.scan(MACHINE)[0], MACHINE),
+        )
+        self.controller.load(snapshot, [convert(b, Build) for b in world.cloud.builds])
+        self.next_list = world.now
+
+    def _later(self, delay: float, work: Callable[[], None]) -> None:
+        def run() -> None:
+            if self.alive and self.node.alive:
+                work()
+                if self.alive:
+                    self.controller.settle()
+
+        self.world.after(delay, run)
+
+    def commit(
+        self,
+        conditions: dict[str, int],
+        writes: list[Data],
+        done: Callable[[bool], None],
+        first: bool = False,
+    ) -> None:
+        def attempt() -> None:
+            try:
+                self.node.store.commit({LEAD: self.stamp, **conditions}, writes)
+            except Conflict as conflict:
+                if LEAD in conflict.failed:
+                    self.node.step_down()
+                else:
+                    self._later(0.002, lambda: done(False))
+            except (Refused, Unsure):
+                self._later(0.2, attempt)
+            else:
+                self._later(0.002, lambda: done(True))
+
+        self._later(0.003, attempt)
+
+    def do(
+        self,
+        box: str,
+        endpoint: str,
+        body: Data,
+        done: Callable[[str, Report | None], None],
+        patient: bool,
+    ) -> None:
+        world = self.world
+        worker = world.workers.get(endpoint)
+
+        def answered(outcome: str, report: Data | None) -> None:
+            parsed = parse_report(report) if report is not None else None
+            self._later(0.001, lambda: done(outcome, parsed))
+
+        if worker is None or worker.gone or self.node.cut_workers:
+            self._later(1.5, lambda: done(UNSENT, None))
+            return
+        how = world.troubles.get(worker.name, set())
+        if "late" in how:
+
+            def deliver_late() -> None:
+                worker.do(body)
+
+            world.after(LATE_S, deliver_late)
+            self._later(1.5, lambda: done(UNSURE, None))
+            return
+        if how & {"hang", "hold"}:
+            # The command waits in the network or in a hanging machine, and is carried out later.
+            worker.held_commands.append(body)
+            self._later(1.5, lambda: done(UNSURE, None))
+            return
+        if "deaf" in how:
+            self._later(1.5, lambda: done(UNSENT, None))
+            return
+
+        def deliver() -> None:
+            status, report = worker.do(body)
+            if "mute" in how:
+                self._later(1.5, lambda: done(UNSURE, None))
+                return
+            answered(OK if status == 200 else REFUSED, report)
+
+        world.after(0.001, deliver)
+
+    def hire(self, body: Data, done: Callable[[str, list[str]], None]) -> None:
+        def send() -> None:
+            status, answer = self.world.cloud.hire(body)
+            if self.world.lose_hires > 0 and status == 200:
+                self.world.lose_hires -= 1
+                done(UNSURE, [])
+            elif status == 200:
+                done(OK, answer["boxes"])
+            else:
+                done(REFUSED if answer["error"] == "no capacity" else UNSURE, [])
+
+        self._later(0.1, send)
+
+    def delete(self, names: list[str], done: Callable[[bool], None]) -> None:
+        def send() -> None:
+            status, _ = self.world.cloud.delete(names)
+            if status == 200:
+                for name in names:
+                    self.world.end_worker(name)
+            done(status == 200)
+
+        self._later(0.1, send)
+
+    def deposed(self, baton: int) -> None:
+        self.node.step_down()
+
+    def raised(self, baton: int) -> None:
+        self.baton = baton
+
+    def resign(self, why: str) -> None:
+        self.node.resting_until = self.world.now + self.world.settings.settings.workers.lease_s
+        if not self.world.state.down and not self.node.refused:
+            self.world.state.end(self.permit)
+        self.node.step_down()
+
+    def over(self, job_id: str, status: str, chores: int) -> None:
+        self.node.users.finals.put(job_id, status, chores)
+
+    def peers_hear(self) -> int:
+        since = self.world.now - self.world.settings.settings.workers.lease_s / 2
+        others = [n for n in self.world.nodes if n is not self.node and n.alive and not n.cut_peers]
+        if self.node.cut_peers:
+            return 0
+        return max((sum(1 for at in n.passed_on.values() if at > since) for n in others), default=0)
+
+    def may_start(self) -> bool:
+        now = self.world.now
+        return self.alive and now - self.confirmed < 2.5 and now - self.synced < 5.0
+
+    def confirmed_at(self) -> float:
+        return self.confirmed if self.alive else float("-inf")
+
+
+class SimNode:
+    """A controller node: its election is that of `election`, told in a few lines."""
+
+    def __init__(self, world: World, member: str) -> None:
+        self.world, self.member = world, member
+        self.alive = True
+        self.refused = False
+        self.cut_workers = False
+        self.cut_peers = False
+        self.lose_answers = 0
+        self.resting_until = 0.0
+        self.back_at = float("inf")
+        self.reign: SimReign | None = None
+        self.boot()
+
+    def boot(self) -> None:
+        """A new process: nothing is remembered."""
+        self.alive = True
+        self.store = SimStore(self)
+        self.reign = None
+        self.told_floor = -1
+        self.views: dict[str, PeerView] = {}
+        self.passed_on: dict[str, float] = {}
+        workers = self.world.settings.settings.workers
+        self.authority = Authority(
+            workers.cancel_s - workers.lease_s * 1.001 - workers.report_s * 2.25,
+            [m for m in self.world.members if m != self.member],
+            lambda: self.views,
+        )
+        builds = {b["name"]: convert(b, Build) for b in self.world.cloud.builds}
+        self.users = Users(self.world.settings, self.store, lambda: builds, self._count)
+
+    def _count(self, job_id: str) -> tuple[int, int]:
+        return self.reign.controller.counts().get(job_id, (0, 0)) if self.reign else (0, 0)
+
+    def crash(self, back_s: float) -> None:
+        """The process ends without a word."""
+        self.step_down()
+        self.alive = False
+        self.back_at = self.world.now + back_s
+
+    def step_down(self) -> None:
+        """The term is over."""
+        if self.reign is not None:
+            self.reign.alive = False
+            self.reign = None
+
+    def hello(self, body: Data) -> tuple[int, Data]:
+        """POST /hello."""
+        reign = self.reign
+        if reign is None:
+            self.passed_on[body["box"]] = self.world.now
+            leader = self.world.leader()
+            return 421, {"foreman": leader.member} if leader is not None else {}
+        if not self.authority.may_answer(self.world.now, reign.synced):
+            return 503, {}
+        answer = reign.controller.hello(parse_report(body))
+        if reign.alive:
+            reign.controller.settle()
+        if answer is None or not reign.alive:
+            return 503, {}
+        assert len(encode(answer)) <= 64 * 1024
+        return 200, answer
+
+    def step(self) -> None:
+        """What a node's duties do every so often."""
+        world = self.world
+        try:
+            if self.reign is not None:
+                self._reign(self.reign)
+            elif world.now >= self.resting_until:
+                self._campaign()
+            if self.told_floor < 0:
+                self.told_floor = self.store.scan(LEAD)[1]
+        except Refused:
+            pass
+        self._ask_peers()
+        reign = self.reign
+        if reign is not None:
+            reign.controller.tick()
+            if reign.alive:
+                reign.controller.settle()
+
+    def _reign(self, reign: SimReign) -> None:
+        world = self.world
+        asked = world.now
+        if not world.cloud.down and asked >= reign.next_list:
+            reign.next_list = asked + 4.0
+            boxes = [convert(b, Listed) for b in world.cloud.listing()[1]["boxes"]]
+            reign.controller.listed(boxes)
+        if self.store.get(LEAD) is None or world.state.extend(reign.permit)[0] == 404:
+            self.step_down()
+            return
+        reign.confirmed = asked
+        for event in world.state.changes(ACTIVE, reign.ledger):
+            if "set" in event:
+                reign.controller.job_set(Entry(event["set"], event["data"], event["stamp"]))
+            else:
+                reign.controller.job_removed(event["remove"])
+        reign.ledger = world.state.ledger
+        reign.synced = asked
+
+    def _campaign(self) -> None:
+        if self.store.get(LEAD) is not None:
+            return
+        world = self.world
+        permit = world.state.lease(2500)[1]["permit"]
+        held = self.store.get(BATON)
+        baton = (held.data["baton"] if held else 0) + 1
+        claim = {"member": self.member, "baton": baton, "permit": permit}
+        conditions = {LEAD: 0, BATON: held.stamp if held else 0}
+        stamp = self.store.commit(conditions, [put(LEAD, claim, permit), put(BATON, {"baton": baton})])
+        self.reign = SimReign(self, baton, stamp, permit)
+
+    def _ask_peers(self) -> None:
+        world = self.world
+        for other in world.nodes:
+            if other is self or not other.alive or self.cut_peers or other.cut_peers:
+                continue
+            if other.reign is not None and self.reign is not None and other.reign.baton > self.reign.baton:
+                self.step_down()
+            told = max(other.users.told, other.told_floor)
+            known = self.reign.ledger if self.reign is not None else -1
+            if 0 <= told <= known:
+                self.views[other.member] = PeerView(world.now, world.now, True, 0)
+
+
+class SimWorker(WorkerStandIn):
+    """A worker with its report loop."""
+
+    held_commands: list[Data]
+    node = 0
+    next_report = 0.0
+    busy_until = 0.0
+
+
+class World:
+    """Everything, with one clock and one source of chance."""
+
+    def __init__(self, seed: int, lease_s: float, cancel_s: float, teams: list[Team]) -> None:
+        self.now = 0.0
+        self.rng = random.Random(seed)
+        self.members = ["hive-0", "hive-1", "hive-2"]
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = 0
+        self.settings = Settings(
+            member="hive-0",
+            domain="a",
+            client_listen="127.0.0.1:1",
+            back="127.0.0.1:2",
+            outside=Outside(cloud="127.0.0.1:3", state="127.0.0.1:4"),
+            known=[Known(m, "a", "127.0.0.1:5") for m in self.members[1:]],
+            settings=DeploymentSettings(
+                count=3,
+                zones=ZONES,
+                teams=teams,
+                workers=Workers(report_s=1.0, lease_s=lease_s, cancel_s=cancel_s),
+                cloud=CloudLimits(rps=2.0, list_lag_s=8.0),
+            ),
+        )
+        self.state = StateStandIn(lambda: self.now)
+        self.cloud = CloudStandIn(
+            lambda: self.now, [build_data("small", 4, 10.0), build_data("large", 8, 10.0)], 8.0
+        )
+        self.workers: dict[str, SimWorker] = {}
+        self.troubles: dict[str, set[str]] = {}
+        self.lose_hires = 0
+        self.jobs: dict[str, Data] = {}
+        self.cancelled_at: dict[str, float] = {}
+        self.told: dict[str, str] = {}
+        self.finished: set[str] = set()
+        self.starts: dict[str, int] = {}
+        self.broken: list[str] = []
+        self.nodes = [SimNode(self, member) for member in self.members]
+        self._copies: list[tuple[float, Data]] = []
+        self.copying = False
+
+    # -- time --------------------------------------------------------------------------------------
+
+    def after(self, delay: float, work: Callable[[], None]) -> None:
+        """Do something later."""
+        self._count += 1
+        heapq.heappush(self._heap, (self.now + delay, self._count, work))
+
+    def run(self, until: float) -> None:
+        """Let time pass."""
+        while self.now < until:
+            target = min(until, self.now + STEP_S)
+            while self._heap and self._heap[0][0] <= target:
+                at, _, work = heapq.heappop(self._heap)
+                self.now = max(self.now, at)
+                work()
+            self.now = target
+            self._step()
+
+    def _step(self) -> None:
+        tick = round(self.now / STEP_S)
+        self.state.expire()
+        for worker in list(self.workers.values()):
+            self._step_worker(worker)
+        for index, node in enumerate(self.nodes):
+            if not node.alive and self.now >= node.back_at:
+                node.boot()
+            if node.alive and tick % 10 == index:
+                node.step()
+        if tick % 10 == 5:
+            self._boot_machines()
+            self.cloud.remember()
+            self._check()
+        if tick % 40 == 7:
+            self._poll()
+
+    # -- machines ----------------------------------------------------------------------------------
+
+    def add_worker(self, name: str) -> SimWorker:
+        """A machine is up: its worker begins."""
+        machine = self.cloud.machines[name]
+        machine["status"] = "running"
+        build = next(b for b in self.cloud.builds if b["name"] == machine["build"])
+        worker = SimWorker(
+            name,
+            build,
+            machine["paddock"],
+            machine["loaners"],
+            self.settings.settings.workers.lease_s,
+            lambda: self.now,
+            self._describe,
+            self._started,
+            self.finished.add,
+        )
+        worker.held_commands = []
+        worker.node = self.rng.randrange(3)
+        self.workers[name] = worker
+        return worker
+
+    def _boot_machines(self) -> None:
+        for name, machine in list(self.cloud.machines.items()):
+            if machine["status"] == "starting" and self.now - machine["at"] >= 10.0:
+                if self.cloud.failing > 0:
+                    self.cloud.failing -= 1
+                    machine["at"] = float("inf")
+                else:
+                    self.add_worker(name)
+
+    def end_worker(self, name: str) -> None:
+        """A machine is gone with all that is on it."""
+        worker = self.workers.pop(name, None)
+        if worker is not None:
+            worker.gone = True
+
+    def _step_worker(self, worker: SimWorker) -> None:
+        how = self.troubles.get(worker.name, set())
+        if "hang" in how:
+            worker.expire()
+            return
+        changed = worker.step()
+        if worker.held_commands and "hold" not in how:
+            # What was held back comes in order once the way is free, whoever still waits for it.
+            held, worker.held_commands = worker.held_commands, []
+            for body in held:
+                worker.do(body)
+        if changed:
+            worker.next_report = min(worker.next_report, max(self.now, worker.busy_until))
+        if self.now >= worker.next_report and self.now >= worker.busy_until:
+            self._report(worker, how)
+
+    def _report(self, worker: SimWorker, how: set[str]) -> None:
+        worker.next_report = self.now + self.rng.uniform(0.75, 1.25)
+        worker.busy_until = self.now + 0.5
+        node = self.nodes[worker.node]
+        body, sent_at, shift = worker.report(), self.now, worker.shift
+        if self.copying:
+            self.after(self.rng.uniform(1.0, 25.0), lambda: self._copy(body))
+        if not node.alive or node.cut_workers or "silent" in how:
+            worker.node = (worker.node + 1) % 3
+            worker.busy_until = self.now + 1.0
+            return
+
+        def arrive() -> None:
+            if not node.alive:
+                return
+            status, answer = node.hello(body)
+            if "deaf" in how or "hold" in how:
+                worker.busy_until = self.now + 4.0
+                return
+            if status == 200:
+                self.after(0.002, lambda: worker.answered(answer, sent_at, shift))
+            else:
+                member = answer.get("foreman")
+                worker.busy_until = self.now + (0.2 if member and member != node.member else 1.0)
+                worker.node = self.members.index(member) if member else (worker.node + 1) % 3
+
+        self.after(0.002, arrive)
+
+    def _copy(self, body: Data) -> None:
+        """A late copy of a report reaches some node; whatever it answers reaches nobody."""
+        node = self.rng.choice(self.nodes)
+        if node.alive:
+            node.hello(body)
+
+    # -- users -------------------------------------------------------------------------------------
+
+    def leader(self) -> SimNode | None:
+        """The node that the leader's key names, if it runs."""
+        held = self.state.keys.get(LEAD)
+        for node in self.nodes:
+            if held is not None and node.member == held[0]["member"] and node.alive:
+                return node
+        return None
+
+    def submit(self, job: Data) -> Answer:
+        """A user submits, and tries again until the answer is final."""
+        self.jobs[job["nameId"]] = job
+        wire = {key: value for key, value in job.items() if key != "runs"}
+        result = self._any_node(lambda node: node.users.submit(encode(wire)))
+        if result is None or result[0] in (429, 503):
+            self.after(1.0, lambda: self._resubmit(job))
+            return result or (503, {}, {})
+        if result[0] in (200, 201):
+            self._tell(job["nameId"], result[1]["status"])
+        return result
+
+    def _resubmit(self, job: Data) -> None:
+        self.submit(job)
+
+    def cancel(self, job_id: str) -> None:
+        """A user cancels, and tries again until the answer is final."""
+        result = self._any_node(lambda node: node.users.abort(job_id))
+        if result is None or result[0] != 200:
+            self.after(1.0, lambda: self.cancel(job_id))
+            return
+        self._tell(job_id, result[1]["status"])
+        if result[1]["status"] == "cancelled":
+            self.cancelled_at.setdefault(job_id, self.now)
+
+    def _any_node(self, ask: Callable[[SimNode], Answer]) -> Answer | None:
+        alive = [node for node in self.nodes if node.alive]
+        return ask(self.rng.choice(alive)) if alive else None
+
+    def _poll(self) -> None:
+        for job_id in self.told:
+            result = self._any_node(lambda node, asked=job_id: node.users.poll(asked))  # type: ignore[misc]
+            if result is None:
+                continue
+            if result[0] == 404:
+                self.broken.append(f"forgotten: {job_id}")
+            elif result[0] == 200:
+                self._tell(job_id, result[1]["status"])
+
+    def _tell(self, job_id: str, status: str) -> None:
+        before = self.told.get(job_id)
+        if before in ("done", "cancelled") and status != before:
+            self.broken.append(f"went_back: {job_id} from {before} to {status}")
+        job = self.jobs[job_id]
+        if status == "done":
+            left = [i for i in range(job["chores"]) if f"{job_id}/{i}" not in self.finished]
+            if left:
+                self.broken.append(f"not_done: {job_id} lacks {len(left)} tasks")
+        self.told[job_id] = status
+
+    # -- rules -------------------------------------------------------------------------------------
+
+    def _describe(self, task: str) -> Data | None:
+        job = self.jobs.get(task.rpartition("/")[0])
+        return job if job is not None and int(task.rpartition("/")[2]) < job["chores"] else None
+
+    def _running(self) -> list[tuple[SimWorker, str]]:
+        return [(worker, task) for worker in self.workers.values() for task in worker.on_machine()]
+
+    def _started(self, worker: WorkerStandIn, task: str) -> None:
+        self.starts[task] = self.starts.get(task, 0) + 1
+        job_id = task.rpartition("/")[0]
+        job = self.jobs[job_id]
+        others = [(w, t) for w, t in self._running() if w is not worker]
+        if any(t == task for _, t in others):
+            self.broken.append(f"ran_twice: {task} at {self.now:.1f}")
+        allowed = (
+            (job["builds"] is None or worker.build["name"] in job["builds"])
+            and (job["paddock"] is None or worker.zone == job["paddock"])
+            and (job["loaners"] or not worker.spot)
+        )
+        zones = [w.zone for w, t in self._running() if t.rpartition("/")[0] == job_id]
+        if job["samePlace"] and len(set(zones)) > 1:
+            allowed = False
+        if job["apart"] and zones.count(worker.zone) > (job["chores"] + 1) // 2:
+            allowed = False
+        if not allowed:
+            self.broken.append(f"wrong_place: {task} on {worker.name}")
+        self._check()
+
+    def _check(self) -> None:
+        cancel_s = self.settings.settings.workers.cancel_s
+        used: dict[str, float] = {}
+        for _, task in self._running():
+            job_id = task.rpartition("/")[0]
+            job = self.jobs[job_id]
+            used[job["crew"]] = used.get(job["crew"], 0.0) + job["accelerators"]
+            if self.now > self.cancelled_at.get(job_id, float("inf")) + cancel_s:
+                self.broken.append(f"ran_cancelled: {task} at {self.now:.1f}")
+        for team in self.settings.settings.teams:
+            if team.gpus_max and used.get(team.name, 0.0) > team.gpus_max + 1e-6:
+                self.broken.append(f"quota: {team.name} at {self.now:.1f}")
+
+
+def submission(job_id: str, fields: Data) -> Data:
+    """A job with every field, and how long its tasks really run."""
+    job: Data = {
+        "nameId": job_id,
+        "lot": "sweep",
+        "crew": "alpha",
+        "shape": "array",
+        "rank": "standard",
+        "chores": 2,
+        "cpus": 4.0,
+        "accelerators": 1.0,
+        "memGb": 10.0,
+        "bundle": "img-1",
+        "sizeGb": 5.0,
+        "builds": None,
+        "paddock": None,
+        "samePlace": False,
+        "apart": False,
+        "loaners": False,
+        "guessS": 10.0,
+        "bookmarkS": 0.0,
+        "stashS": 0.0,
+        "dueS": None,
+        **fields,
+    }
+    job.setdefault("runs", job["guessS"])
+    if job["shape"] == "service":
+        job["guessS"] = 0.0
+    return msgspec.convert(job, dict[str, Any])
