--- a/src/poppyhold/hiring.py
+++ b/src/poppyhold/hiring.py
@@ -272,6 +272,9 @@
             return
         self._next_at = now + ctx.times.report_s
         spaces = self._spaces(now)
+        if any(hire.busy for hire in self._hires.values()):
+            # The cloud takes few requests: one round of hires at a time, with all that it lacks.
+            return
         demands = self._demands(now)
         purchases = self._provisioning.decide(ctx.builds, spaces, demands, now)
         for purchase in purchases:
--- a/src/poppyhold/provisioning.py
+++ b/src/poppyhold/provisioning.py
@@ -48,6 +48,11 @@
     number: int
 
 
+def _size(need: Room) -> float:
+    """Size of a task by the resource that machines run out of first, as far as one can tell."""
+    return need[1] if need[1] > 0 else need[0]
+
+
 class Arrivals:
     """What has been submitted lately, by class: the forecast of what comes while a machine boots."""
 
@@ -72,12 +77,18 @@
         for at, spec in self._seen:
             key = (spec.lot, (spec.cpus, spec.accelerators, spec.memGb))
             groups.setdefault(key, []).append((at, spec))
-        demands = []
-        for (_, need), seen in groups.items():
-            squares = self._steady_squares(now, seen) * ahead_s
-            tasks = math.ceil(factor * math.sqrt(squares))
-            demands.append(Demand(seen[-1][1], need, tasks, {}, forecast=True))
-        return demands
+        deviations = {
+            key: math.sqrt(self._steady_squares(now, seen) * ahead_s) for key, seen in groups.items()
+        }
+        # Classes share the room, and seldom all come at once: the deviation of the sum is less than the
+        # sum of the deviations.
+        weights = {key: deviation * _size(key[1]) for key, deviation in deviations.items()}
+        total = sum(weights.values())
+        pooled = math.sqrt(sum(weight * weight for weight in weights.values())) / total if total else 0.0
+        return [
+            Demand(seen[-1][1], key[1], math.ceil(factor * pooled * deviations[key]), {}, forecast=True)
+            for key, seen in groups.items()
+        ]
 
     def _steady_squares(self, now: float, seen: list[tuple[float, Submission]]) -> float:
         """Squared job sizes per second, without the busiest part of the window.
