--- a/src/poppyhold/attempts.py
+++ b/src/poppyhold/attempts.py
@@ -32,6 +32,7 @@
         self._on_done, self._on_over, self._on_ran = on_done, on_over, on_ran
         # Machines that may hold tasks of terms before ours and have not been heard in it.
         self.unheard: set[str] = set()
+        self._unheard_told = False
         self._raising = False
         self.began_at = ctx.clock()
 
@@ -74,6 +75,7 @@
         if build is None or report.box in ctx.dead:
             return None
         machine = Machine(report.box, build, report.paddock, report.loaners, since=now)
+        machine.images.update(ctx.hints.get(report.box, ()))
         ctx.fleet.machines[report.box] = machine
         return machine
 
@@ -339,6 +341,15 @@
 
     # -- proofs by time, and machines that are gone ------------------------------------------------
 
+    def all_heard(self) -> bool:
+        """Whether every machine that may hold tasks of terms before ours was heard or is proven empty."""
+        if self.unheard:
+            return False
+        if not self._unheard_told:
+            self._unheard_told = True
+            log.info("all machines heard after %.1f s", self._ctx.clock() - self.began_at)
+        return True
+
     def raise_baton(self) -> None:
         """Raise our baton if a start is in limbo: commands under the old one then are void."""
         ctx = self._ctx
--- a/src/poppyhold/context.py
+++ b/src/poppyhold/context.py
@@ -14,6 +14,8 @@
 from poppyhold.settings import Settings
 
 Data = dict[str, Any]
+# Machine -> its images and their sizes, least recently used first.
+Hints = dict[str, tuple[tuple[str, float], ...]]
 
 # Outcomes of a request to another system.
 OK, REFUSED, UNSENT, UNSURE = "ok", "refused", "unsent", "unsure"
@@ -101,6 +103,7 @@
     builds: dict[str, Build] = msgspec.field(default_factory=dict)
     # Machines that we deleted, and when: old lists and reports still name them.
     dead: dict[str, float] = msgspec.field(default_factory=dict)
+    hints: Hints = msgspec.field(default_factory=dict)
     dirty: bool = True
     counter: int = 0
 
--- a/src/poppyhold/controller.py
+++ b/src/poppyhold/controller.py
@@ -9,7 +9,7 @@
 
 from poppyhold.admission import Admission
 from poppyhold.attempts import Attempts
-from poppyhold.context import Context, Edges, Times
+from poppyhold.context import Context, Edges, Hints, Times
 from poppyhold.fleet import (
     DONE,
     Attempt,
@@ -73,9 +73,13 @@
 
     # -- the beginning of a term ---------------------------------------------------------------------
 
-    def load(self, snapshot: Snapshot, builds: Iterable[Build]) -> None:
-        """Rebuild from what earlier leaders made durable; reports bring the rest."""
+    def load(self, snapshot: Snapshot, builds: Iterable[Build], hints: Hints | None = None) -> None:
+        """Rebuild from what earlier leaders made durable; reports bring the rest.
+
+        Hints are what the last leader told its peers of the machines' images: they only guide choices.
+        """
         ctx = self.ctx
+        ctx.hints = hints or {}
         now = ctx.clock()
         for build in builds:
             ctx.builds[build.name] = build
@@ -84,6 +88,7 @@
             ctx.builds.setdefault(build.name, build)
             machine = Machine(name, build, data["paddock"], data["loaners"], since=now)
             machine.endpoint = data["endpoint"]
+            machine.images.update(ctx.hints.get(name, ()))
             machine.recorded = machine.record_asked = machine.up = True
             ctx.fleet.machines[name] = machine
             self.attempts.unheard.add(name)
@@ -104,7 +109,8 @@
                 if job.states[index] != DONE:
                     job.states[index] = DONE
                     job.done += 1
-        for job in list(ctx.fleet.jobs.values()):
+        for job in sorted(ctx.fleet.jobs.values(), key=lambda job: job.at):
+            self.hiring.arrivals.note(job.at, job.spec)
             if not job.plan_durable:
                 self._arrive(job)
             if job.done == job.spec.chores:
@@ -189,13 +195,21 @@
             if self._guarantees_stale:
                 self._guarantees_stale = False
                 self._quotas.mark_guaranteed(job for job in self.ctx.fleet.jobs.values() if not job.over)
-            self.admission.dispatch(not self.attempts.unheard)
+            self.admission.dispatch(self.attempts.all_heard())
         self.attempts.flush()
 
     def counts(self) -> dict[str, tuple[int, int]]:
         """Done and running tasks by job, for display."""
         return {job.id: (job.done, job.running) for job in self.ctx.fleet.jobs.values() if not job.over}
 
+    def hints(self) -> Hints:
+        """The machines' images, for the next leader."""
+        return {
+            machine.name: tuple(machine.images.items())
+            for machine in self.ctx.fleet.machines.values()
+            if machine.images
+        }
+
     # -- jobs ----------------------------------------------------------------------------------------
 
     def _add_job(self, entry: Entry) -> Job | None:
--- a/src/poppyhold/peers.py
+++ b/src/poppyhold/peers.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from poppyhold.context import Hints
 from poppyhold.settings import Known, Settings, split_address
 
 log = logging.getLogger(__name__)
@@ -34,6 +35,8 @@
     told: int
     workers: int
     counts: list[Count] = []
+    # Images of machines whose images changed: a next leader starts from them.
+    images: list[tuple[str, tuple[tuple[str, float], ...]]] = []
 
 
 class Pong(msgspec.Struct, frozen=True, array_like=True, tag="pong"):
@@ -96,6 +99,7 @@
         settings: Settings,
         describe: Callable[[], Ping],
         counts: Callable[[], dict[str, tuple[int, int]]],
+        hints: Callable[[], Hints],
         known_ledger: Callable[[], int],
         on_ping: Callable[[Ping], None],
         on_pong: Callable[[Pong], None],
@@ -103,6 +107,7 @@
     ) -> None:
         self._settings = settings
         self._describe, self._counts, self._known_ledger = describe, counts, known_ledger
+        self._hints = hints
         self._on_ping, self._on_pong, self._on_refused = on_ping, on_pong, on_refused
         workers = settings.settings.workers
         self._every_s = workers.report_s / 2
@@ -181,12 +186,16 @@
 
     def _talk(self, connection: socket.socket, known: Known) -> None:
         sent: dict[str, tuple[int, int]] = {}
+        told: Hints = {}
         while not self._stop.is_set():
             counts = self._counts()
             changed = [(job, *pair) for job, pair in counts.items() if sent.get(job) != pair]
             sent = counts
+            hints = self._hints()
+            images = [(box, held) for box, held in hints.items() if told.get(box) != held]
+            told = hints
             asked = time.monotonic()
-            send(connection, msgspec.structs.replace(self._describe(), counts=changed))
+            send(connection, msgspec.structs.replace(self._describe(), counts=changed, images=images))
             message = receive(connection)
             if not isinstance(message, Pong):
                 raise ValueError("not a pong")
--- a/src/poppyhold/service.py
+++ b/src/poppyhold/service.py
@@ -14,7 +14,7 @@
 
 from poppyhold.authority import Authority
 from poppyhold.cloud import CloudClient, CloudThread
-from poppyhold.context import Data
+from poppyhold.context import Data, Hints
 from poppyhold.controller import Controller, Snapshot
 from poppyhold.election import Election, Leader, Term
 from poppyhold.http import Answer, Server, answer
@@ -95,6 +95,7 @@
         self._cloud: CloudThread | None = None
         self._watch: Watch | None = None
         self._counts: dict[str, tuple[int, int]] = {}
+        self._hints: Hints = {}
         self.controller = Controller(
             node.settings, node.options, self, term.baton, time.monotonic, time.time, node.rng
         )
@@ -114,7 +115,7 @@
             return
         if not self.alive:
             return
-        self.controller.load(snapshot, self._node.builds.values())
+        self.controller.load(snapshot, self._node.builds.values(), dict(self._node.peer_hints))
         self._cloud = CloudThread(self._node.settings, self._node.cloud, self._on_builds, self._on_listed)
         self._watch = Watch(
             self._node.store,
@@ -134,6 +135,7 @@
                 if time.monotonic() >= tick_at:
                     self.controller.tick()
                     self._counts = self.controller.counts()
+                    self._hints = self.controller.hints()
                     tick_at = time.monotonic() + self._tick_s
                 if not len(self._queue):
                     self.controller.settle()
@@ -231,6 +233,10 @@
         """Done and running tasks by job, as of the last tick."""
         return self._counts
 
+    def hints(self) -> Hints:
+        """The machines' images, as of the last tick."""
+        return self._hints
+
     # -- the edges of the core -----------------------------------------------------------------------
 
     def commit(
@@ -320,6 +326,7 @@
         self.builds: dict[str, Build] = {}
         self._builds_published: object = None
         self._peer_counts: dict[str, tuple[int, int]] = {}
+        self.peer_hints: Hints = {}
         self.users = Users(settings, self.store, lambda: self.builds, self._count)
         self._passed_on: dict[str, float] = {}
         self._reign: Reign | None = None
@@ -331,6 +338,7 @@
             settings,
             self._describe,
             self._counts,
+            self._hints,
             self._known_ledger,
             self._on_ping,
             self._on_pong,
@@ -418,6 +426,10 @@
         reign = self._reign
         return reign.counts() if reign is not None else {}
 
+    def _hints(self) -> Hints:
+        reign = self._reign
+        return reign.hints() if reign is not None else {}
+
     def _count(self, job_id: str) -> tuple[int, int]:
         reign = self._reign
         counts = reign.counts() if reign is not None else self._peer_counts
@@ -443,6 +455,11 @@
             while len(counts) > self.settings.settings.machine_limits.ram_mb * 100:
                 counts.pop(next(iter(counts)))
             self._peer_counts = counts
+            for box, held in ping.images:
+                self.peer_hints.pop(box, None)
+                self.peer_hints[box] = held
+            while len(self.peer_hints) > self.settings.settings.machine_limits.max_sockets:
+                self.peer_hints.pop(next(iter(self.peer_hints)))
 
     def _on_pong(self, pong: Pong) -> None:
         if pong.leading:
