Jobs that can still meet their deadline go first; unheard machines are given up sooner

Cause: a new leader waited 7.3 s for a machine that was gone before it started older jobs' tasks; and in a burst late jobs were served before those that could still be in time.

--- a/src/poppyhold/admission.py
+++ b/src/poppyhold/admission.py
@@ -18,6 +18,10 @@
 log = logging.getLogger(__name__)
 
 
+# Leases after which a job that has not begun is no longer passed over for more valuable ones.
+_PATIENCE_LEASES = 12
+
+
 class Estimates:
     """How far owners' estimates are off, by class: a moving mean of the ratio's logarithm."""
 
@@ -237,7 +241,7 @@
         ]
         # An older job's tasks may run on a machine that has not been heard yet.
         ready = [job for job in jobs if job.plan_durable and (job.fresh or all_heard)]
-        ready.sort(key=lambda job: (job.rank, not job.guaranteed, job.at, job.id))
+        ready.sort(key=lambda job: self._urgency(job, now))
         self._reconsider([job for job in ready if not job.admitted])
         machines = [
             machine for machine in ctx.fleet.machines.values() if machine.usable(now, ctx.times.silent_s)
@@ -255,6 +259,21 @@
             if job.pending > 0:
                 self._start_some(job, machines, job.pending, reserved, extra)
 
+    def _urgency(self, job: Job, now: float) -> tuple[int, bool, int, float, str]:
+        """Order of the jobs that wait: priority, guarantee, and then by what their value does.
+
+        A job that can still meet its deadline loses value by waiting; one that can't has lost it already.
+        One that has waited too long to begin goes first all the same, so that none starves.
+        """
+        times = self._ctx.times
+        if job.due_at is None:
+            return job.rank, not job.guaranteed, 1, job.at, job.id
+        latest_start = job.due_at - self.estimates.seconds(job)
+        group = 1 if now <= latest_start else 2
+        if not job.active and not job.done and now - job.at > times.lease_s * _PATIENCE_LEASES:
+            group = 0
+        return job.rank, not job.guaranteed, group, latest_start, job.id
+
     def _unknown_use(self) -> Room:
         """Room that may be in use on machines whose tasks we can't know: it counts for every team."""
         total = NOTHING
--- a/src/poppyhold/hiring.py
+++ b/src/poppyhold/hiring.py
@@ -200,7 +200,11 @@
                     self._condemn(machine, "never came up")
                 continue
             up += 1
-            quiet = now - max(machine.last_report, machine.up_at, began + times.report_s * 2)
+            if machine.heard or machine.name not in self._attempts.unheard:
+                quiet = now - max(machine.last_report, machine.up_at, began + times.report_s * 2)
+            else:
+                # It was up, and was asked when our term began: a sound worker answers that at once.
+                quiet = now - began + times.lost_s / 2
             if quiet > times.silent_s / 2:
                 self._attempts.probe(machine, now)
             if quiet > times.lost_s:
