--- /dev/null
+++ b/tests/test_edges.py
@@ -0,0 +1,163 @@
+"""What bad input gets, and the large jobs that are legal."""
+
+from __future__ import annotations
+
+import math
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from poppyhold.fleet import DONE, decode_done, encode_done, make_job
+from poppyhold.messages import Malformed, encode, parse_report, parse_submission
+from poppyhold.options import load_options, parse_options
+from poppyhold.settings import ConfigError, Team, load_settings
+from world import World, submission
+
+
+def wire(**fields: object) -> dict[str, Any]:
+    """A submission as a user sends it."""
+    job = submission("job-000001", fields)
+    del job["runs"]
+    return job
+
+
+BAD = [
+    {"nameId": "job-1"},
+    {"nameId": "job-00000a"},
+    {"nameId": 7},
+    {"shape": "circle"},
+    {"rank": "urgent"},
+    {"chores": 0},
+    {"chores": 100_001},
+    {"chores": 1.5},
+    {"cpus": -1.0},
+    {"memGb": math.inf},
+    {"accelerators": math.nan},
+    {"dueS": -3.0},
+    {"apart": "yes"},
+    {"builds": "small"},
+]
+
+
+@pytest.mark.parametrize("fields", BAD, ids=str)
+def test_bad_submissions_are_refused(fields: dict[str, object]) -> None:
+    with pytest.raises(Malformed):
+        parse_submission(wire() | fields)
+
+
+@pytest.mark.parametrize("missing", ["lot", "chores", "cpus", "samePlace", "guessS"])
+def test_missing_fields_are_refused(missing: str) -> None:
+    body = wire()
+    del body[missing]
+    with pytest.raises(Malformed):
+        parse_submission(body)
+
+
+def test_nullable_fields_may_be_left_out_and_unknown_ones_are_ignored() -> None:
+    body = wire(colour="blue")
+    for name in ("builds", "paddock", "dueS"):
+        del body[name]
+    assert parse_submission(body).builds is None
+
+
+def test_users_get_the_status_that_protocol_says() -> None:
+    world = World(1, 10.0, 30.0, [Team("alpha", gpus_max=6)])
+    users = world.nodes[0].users
+    assert users.submit(b"\xff\xff")[0] == 400
+    assert users.submit(encode([1, 2]))[0] == 400
+    assert users.submit(encode(wire(crew="nobody")))[0] == 422
+    assert users.submit(encode(wire(builds=["huge"])))[0] == 422
+    assert users.submit(encode(wire(accelerators=9.0)))[0] == 422
+    assert users.submit(encode(wire(shape="service", chores=7)))[0] == 422
+    assert users.submit(encode(wire(shape="array", chores=7)))[0] == 201
+    assert users.submit(encode(wire(shape="array", chores=7)))[0] == 200
+    # What was accepted stays accepted, whatever a repeat says.
+    assert users.submit(encode(wire(crew="nobody")))[0] == 200
+    assert users.poll("job-000009")[0] == 404
+    assert users.abort("job-000009")[0] == 404
+    assert users.poll("nonsense")[0] == 404
+    world.state.down = True
+    later = users.submit(encode(wire(nameId="job-000002")))
+    assert later[0] == 503
+    assert "Retry-After" in later[2]
+    assert users.poll("job-000001")[0] == 503
+
+
+@pytest.mark.parametrize("body", [{}, {"box": "vm"}, {"box": 1, "tally": "x"}], ids=str)
+def test_malformed_reports_are_refused(body: dict[str, object]) -> None:
+    with pytest.raises(Malformed):
+        parse_report(body)
+
+
+def test_completions_of_the_largest_job_fit_their_records() -> None:
+    job = make_job(parse_submission(wire(chores=100_000)), 1, 0.0)
+    size = int(8 * 1024 / 4) * 4
+    done = [0, 1, size - 1, size, 54_321, 99_999]
+    for index in done:
+        job.states[index] = DONE
+    found: list[int] = []
+    for chunk in range(100_000 // size + 1):
+        text = encode_done(job, chunk, size)
+        assert len(msgspec.json.encode({"d": text})) <= 8 * 1024
+        found += decode_done(job, chunk, size, text)
+    assert found == done
+
+
+def test_largest_job_runs_within_the_limits() -> None:
+    # The state service's stand-in refuses values and transactions above the limits.
+    world = World(1, 10.0, 30.0, [Team("alpha")])
+    for _ in range(4):
+        world.add_worker(world.cloud.add("large", "a", False, "running"))
+    world.run(1.5)
+    world.submit(submission("job-000001", {"chores": 100_000, "guessS": 2.0, "sizeGb": 0.1}))
+    world.run(30.0)
+    assert world.broken == []
+    assert len(world.finished) > 32
+
+
+def test_options_have_defaults_and_bounds(tmp_path: Path) -> None:
+    root = Path(__file__).resolve().parent.parent
+    shipped = (root / "deploy" / "poppyhold.txtpb").read_text()
+    assert parse_options(shipped) == load_options(None)
+    # The figures that are commented out are the defaults.
+    lines = [line.removeprefix("# ") for line in shipped.splitlines()[2:]]
+    assert parse_options("\n".join(lines)) == load_options(None)
+    assert parse_options("provisioning { headroom: 2 }").provisioning.headroom == 2.0
+    for text, name in (("design { slot_leases: 0 }", "slot_leases"), ("nonsense: 1", "nonsense")):
+        bad = tmp_path / "bad.txtpb"
+        bad.write_text(text)
+        with pytest.raises(ConfigError, match=name):
+            load_options(bad)
+
+
+def test_settings_name_the_field_that_is_wrong(tmp_path: Path) -> None:
+    good = """
+member = "a"
+domain = "z"
+client_listen = "127.0.0.1:1"
+back = "127.0.0.1:2"
+[outside]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[settings]
+count = 1
+zones = ["z"]
+[settings.workers]
+report_s = 1.0
+lease_s = 10.0
+cancel_s = 30.0
+"""
+    path = tmp_path / "settings.toml"
+    path.write_text(good)
+    assert load_settings(path).settings.workers.cancel_s == 30.0
+    for old, new, name in (
+        ("count = 1", 'count = "x"', "count"),
+        ("127.0.0.1:4", "nowhere", "outside.state"),
+        ("lease_s = 10.0", "lease_s = 0.0", "lease_s"),
+        ("cancel_s = 30.0", "cancel_s = 5.0", "cancel_s"),
+    ):
+        path.write_text(good.replace(old, new))
+        with pytest.raises(ConfigError, match=name):
+            load_settings(path)
--- /dev/null
+++ b/tests/test_smoke.py
@@ -0,0 +1,273 @@
+"""The real program on loopback, against stand-ins served over HTTP."""
+
+from __future__ import annotations
+
+import http.server
+import os
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from poppyhold.http import Answer, Client, NoAnswer, NotSent, Server
+from poppyhold.messages import decode, encode
+from standins import CloudStandIn, StateStandIn, WorkerStandIn
+from world import build_data, submission
+
+ROOT = Path(__file__).resolve().parent.parent
+PATIENCE_S = 60.0
+Data = dict[str, Any]
+
+
+def free_port() -> int:
+    """A port that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def eventually(what: Callable[[], object]) -> None:
+    """Wait until something holds."""
+    deadline = time.monotonic() + PATIENCE_S
+    while not what():
+        assert time.monotonic() < deadline, "did not come about"
+        time.sleep(0.1)
+
+
+class Outside:
+    """State service, cloud and one worker, each on a port of loopback."""
+
+    def __init__(self) -> None:
+        self.state = StateStandIn(time.monotonic)
+        self.cloud = CloudStandIn(time.monotonic, [build_data("small", 4, 1.0)], 1.0)
+        self.jobs: dict[str, Data] = {}
+        self.started: list[str] = []
+        self.finished: list[str] = []
+        name = self.cloud.add("small", "a", False, "running")
+        self.worker = WorkerStandIn(
+            name,
+            self.cloud.builds[0],
+            "a",
+            False,
+            10.0,
+            time.monotonic,
+            lambda task: self.jobs.get(task.rpartition("/")[0]),
+            lambda _, task: self.started.append(task),
+            self.finished.append,
+        )
+        self.lock = threading.Lock()
+        self.servers = [Server(("127.0.0.1", 0), route, 50) for route in (self._state, self._cloud, self._do)]
+        self.ports = [server.server_port for server in self.servers]
+        self.worker.endpoint = f"127.0.0.1:{self.ports[2]}"
+        for server in self.servers:
+            threading.Thread(target=server.serve_forever, daemon=True).start()
+
+    def close(self) -> None:
+        """End the servers."""
+        for server in self.servers:
+            server.close_all()
+
+    def _state(self, method: str, path: str, body: bytes) -> Answer:
+        path, _, query = path.partition("?")
+        asked = dict(part.split("=", 1) for part in query.split("&") if part)
+        if path == "/follow":
+            return self._follow(asked)
+        with self.lock:
+            if path == "/commit":
+                status, data = self.state.commit(decode(body))
+            elif path == "/leases":
+                status, data = self.state.lease(decode(body)["lifeMs"])
+            elif path.startswith("/leases/"):
+                permit = int(path.split("/")[2])
+                status, data = self.state.end(permit) if method == "DELETE" else self.state.extend(permit)
+            elif path == "/kv":
+                status, data = self.state.scan(asked["prefix"], asked.get("since", ""), 1000)
+            else:
+                status, data = self.state.get(path.removeprefix("/kv/"))
+        return status, data, {}
+
+    def _follow(self, asked: dict[str, str]) -> Answer:
+        deadline = time.monotonic() + float(asked["holdMs"]) / 1000
+        while True:
+            with self.lock:
+                events = self.state.changes(asked["prefix"], int(asked["since"]))
+                if events or time.monotonic() >= deadline:
+                    return 200, {"ledger": self.state.ledger, "events": events}, {}
+            time.sleep(0.02)
+
+    def _cloud(self, method: str, path: str, body: bytes) -> Answer:
+        with self.lock:
+            self.cloud.remember()
+            if path == "/machine_types":
+                return 200, {"builds": self.cloud.builds}, {}
+            if path == "/machines/delete":
+                return *self.cloud.delete(decode(body)["boxes"]), {}
+            if method == "POST":
+                return *self.cloud.hire(decode(body)), {}
+            return *self.cloud.listing(), {}
+
+    def _do(self, method: str, path: str, body: bytes) -> Answer:
+        with self.lock:
+            return *self.worker.do(decode(body)), {}
+
+    def report(self, port: int) -> None:
+        """The worker's report to a node, and what the answer brings."""
+        with self.lock:
+            self.worker.step()
+            body, sent_at, shift = self.worker.report(), time.monotonic(), self.worker.shift
+        try:
+            status, answer = Client("127.0.0.1", port, keep=0).request("POST", "/hello", body, timeout=4.0)
+        except (NotSent, NoAnswer):
+            return
+        if status == 200:
+            with self.lock:
+                self.worker.answered(answer, sent_at, shift)
+
+
+@pytest.fixture
+def outside() -> Iterator[Outside]:
+    world = Outside()
+    yield world
+    world.close()
+
+
+class Program:
+    """One controller as a process."""
+
+    def __init__(self, outside: Outside, folder: Path) -> None:
+        self.port = free_port()
+        settings = folder / "settings.toml"
+        settings.write_text(
+            f"""
+member = "hive-0"
+domain = "a"
+client_listen = "127.0.0.1:{self.port}"
+back = "127.0.0.1:{free_port()}"
+something_new = true
+
+[outside]
+cloud = "127.0.0.1:{outside.ports[1]}"
+state = "127.0.0.1:{outside.ports[0]}"
+
+[settings]
+count = 1
+zones = ["a", "b"]
+
+[[settings.teams]]
+name = "alpha"
+gpus = 4.0
+"""
+        )
+        command = [sys.executable, str(ROOT / "run.py"), "serve", "--config", str(settings)]
+        paths = [path for path in sys.path if path]
+        # The checkout's own dependencies may not be built here: those of the tests serve as well.
+        environment = {**os.environ, "PYTHONPATH": os.pathsep.join(paths), "LOG_LEVEL": "debug"}
+        self.process = subprocess.Popen(command, env=environment, stderr=subprocess.DEVNULL)
+        self.client = Client("127.0.0.1", self.port)
+
+    def ask(self, method: str, path: str, body: Data | None = None) -> tuple[int, Data]:
+        """One request of a user."""
+        try:
+            return self.client.request(method, path, body, timeout=5.0)
+        except (NotSent, NoAnswer):
+            return 0, {}
+
+    def kill(self) -> None:
+        """End it without a word."""
+        self.process.kill()
+        self.process.wait()
+        self.client.close()
+
+
+def test_program_serves_and_comes_back(outside: Outside, tmp_path: Path) -> None:
+    program = Program(outside, tmp_path)
+    reporting = threading.Event()
+
+    def report() -> None:
+        while not reporting.wait(0.3):
+            outside.report(program.port)
+
+    try:
+        eventually(lambda: program.ask("GET", "/ready")[0] == 200)
+        threading.Thread(target=report, daemon=True).start()
+        for job_id, fields in (
+            ("job-000001", {"chores": 3, "guessS": 0.5, "sizeGb": 0.1}),
+            ("job-000002", {"shape": "service", "chores": 1, "rank": "critical", "sizeGb": 0.1}),
+        ):
+            job = submission(job_id, fields)
+            outside.jobs[job_id] = job
+            wire = {key: value for key, value in job.items() if key != "runs"}
+            eventually(lambda wire=wire: program.ask("POST", "/api/jobs", wire)[0] in (200, 201))  # type: ignore[misc]
+        eventually(lambda: program.ask("GET", "/api/jobs/job-000001")[1].get("status") == "done")
+        assert sorted(outside.finished) == [f"job-000001/{index}" for index in range(3)]
+        eventually(lambda: outside.worker.on_machine() == ["job-000002/0"])
+        assert program.ask("GET", "/api/jobs/job-999999")[0] == 404
+        assert program.ask("POST", "/api/jobs", {"nameId": "job-000003"})[0] == 400
+        assert program.ask("DELETE", "/api/jobs")[0] == 405
+        assert program.ask("GET", "/elsewhere")[0] == 404
+        with socket.create_connection(("127.0.0.1", program.port)) as rude:
+            rude.sendall(b"POST /api/jobs HTTP/1.1\r\nContent-Length: 9999999\r\n\r\n")
+            assert rude.recv(100).startswith(b"HTTP/1.1 413")
+        program.kill()
+        program = Program(outside, tmp_path)
+        eventually(lambda: program.ask("GET", "/api/jobs/job-000001")[1].get("status") == "done")
+        eventually(lambda: program.ask("POST", "/api/jobs/job-000002/abort")[1].get("status") == "cancelled")
+        eventually(lambda: outside.worker.on_machine() == [])
+        assert outside.started.count("job-000002/0") == 1
+        assert program.process.poll() is None
+    finally:
+        reporting.set()
+        program.kill()
+
+
+def test_check_config_names_the_field(tmp_path: Path) -> None:
+    bad = tmp_path / "bad.toml"
+    bad.write_text('member = "x"\n')
+    paths = os.pathsep.join(path for path in sys.path if path)
+    result = subprocess.run(
+        [sys.executable, str(ROOT / "run.py"), "check-config", "--config", str(bad)],
+        capture_output=True,
+        text=True,
+        env={**os.environ, "PYTHONPATH": paths},
+        check=False,
+    )
+    assert result.returncode == 2
+    assert result.stderr.count("\n") == 1
+    assert "domain" in result.stderr
+
+
+def test_server_outlives_what_peers_send() -> None:
+    calls: list[str] = []
+
+    def route(method: str, path: str, body: bytes) -> Answer:
+        calls.append(path)
+        if path == "/fail":
+            raise RuntimeError("a mistake")
+        return 200, {}, {}
+
+    server = Server(("127.0.0.1", 0), route, 10)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    try:
+        silent = socket.create_connection(("127.0.0.1", server.server_port))
+        with socket.create_connection(("127.0.0.1", server.server_port)) as garbage:
+            garbage.sendall(b"\x00\xff nonsense\r\n\r\n")
+            garbage.recv(100)
+        client = Client("127.0.0.1", server.server_port)
+        assert client.request("GET", "/fail", timeout=5.0)[0] == 503
+        assert client.request("POST", "/fine", {"a": 1}, timeout=5.0)[0] == 200
+        silent.close()
+        client.close()
+    finally:
+        server.close_all()
+    assert calls == ["/fail", "/fine"]
+
+
+def test_handler_is_the_standard_one() -> None:
+    assert issubclass(Server, http.server.HTTPServer)
+    assert decode(encode({"a": 1})) == {"a": 1}
