--- a/src/poppyhold/admission.py
+++ b/src/poppyhold/admission.py
@@ -307,12 +307,14 @@
             if index is None:
                 return
             mine = used.get(job.spec.crew, [0.0, 0.0])
-            if not self._quotas.allows(job.spec.crew, (mine[0] + extra[0], mine[1] + extra[1]), job.need):
-                return
-            own = reserved
-            if reserved is not None and job.booked.get(self.ledger.first):
-                own = self._without(reserved, job)
-            choice = self._choose(job, steady, own) or self._choose(job, machines, own)
+            in_use = (mine[0] + extra[0], mine[1] + extra[1])
+            if not self._quotas.allows(job.spec.crew, in_use, job.need):
+                choice = self._within_limit(job, steady, in_use)
+            else:
+                own = reserved
+                if reserved is not None and job.booked.get(self.ledger.first):
+                    own = self._without(reserved, job)
+                choice = self._choose(job, steady, own) or self._choose(job, machines, own)
             if choice is None:
                 return
             most -= 1
@@ -334,6 +336,16 @@
             return choice
         return other
 
+    def _within_limit(self, job: Job, machines: list[Machine], in_use: tuple[float, float]) -> Choice | None:
+        """At its team's limit, a job may still take the room of lower work of the team."""
+        for other in self._ctx.fleet.jobs.values():
+            if other.spec.crew == job.spec.crew and any(
+                attempt.stopping_at is not None for attempt in other.active.values()
+            ):
+                # One at a time: what is being stopped still counts, and would be made up for twice.
+                return None
+        return self.placement.preempt(job, machines, self._quotas.excess(job.spec.crew, in_use, job.need))
+
     @staticmethod
     def _home(job: Job, machines: list[Machine], reserved: dict[str, Room] | None) -> list[Machine]:
         """The machines of the zone with the most room, for a job that has to stay in one."""
--- a/src/poppyhold/placement.py
+++ b/src/poppyhold/placement.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from poppyhold.fleet import Attempt, Job, Machine, Room, fits, plus, zone_limit
+from poppyhold.fleet import EPSILON, Attempt, Job, Machine, Room, fits, plus, zone_limit
 from poppyhold.settings import Team
 
 
@@ -45,6 +45,14 @@
             or (limits.gpus_max > 0 and used[1] + need[1] > limits.gpus_max + 1e-6)
         )
 
+    def excess(self, team: str, used: tuple[float, float], need: Room) -> tuple[float, float]:
+        """By how much one more task would go beyond the team's limit."""
+        limits = self._teams[team]
+        return (
+            max(0.0, used[0] + need[0] - limits.cpus_max) if limits.cpus_max > 0 else 0.0,
+            max(0.0, used[1] + need[1] - limits.gpus_max) if limits.gpus_max > 0 else 0.0,
+        )
+
     def within_guarantee(self, team: str, cpus: float, gpus: float) -> bool:
         """Whether an amount fits into what the team is guaranteed."""
         limits = self._teams.get(team)
@@ -156,14 +164,20 @@
             score += boot * 0.05 * sum(1 for attempt in machine.attempts.values() if attempt.job is job)
         return score
 
-    def preempt(self, job: Job, machines: Iterable[Machine]) -> Choice | None:
-        """The machine where the least is lost by making room, if preemption is allowed at all."""
+    def preempt(
+        self, job: Job, machines: Iterable[Machine], owed: tuple[float, float] | None = None
+    ) -> Choice | None:
+        """The machine where the least is lost by making room, if preemption is allowed at all.
+
+        Where the team is at its limit, its own lower work has to free ``owed`` cpus and accelerators. The
+        stops and the start reach the worker in one command, so the limit holds all the while.
+        """
         best: Choice | None = None
         best_score = float("inf")
         for machine in machines:
             if not may_use(job, machine) or not zone_allows(job, machine.zone):
                 continue
-            victims = self._victims(job, machine)
+            victims = self._victims(job, machine, owed)
             if victims is None:
                 continue
             lost = sum(self._loss(victim) for victim in victims)
@@ -183,9 +197,9 @@
             return 0.0
         return spec.bookmarkS / 2 if spec.bookmarkS > 0 else spec.guessS / 2
 
-    def _victims(self, job: Job, machine: Machine) -> list[Attempt] | None:
+    def _victims(self, job: Job, machine: Machine, owed: tuple[float, float] | None) -> list[Attempt] | None:
         free = machine.free
-        if fits(job.need, free):
+        if owed is None and fits(job.need, free):
             return None
         candidates = [
             attempt
@@ -193,13 +207,17 @@
             if attempt.status in ("pulling", "running")
             and attempt.stopping_at is None
             and self._may_preempt(job, attempt)
+            and (owed is None or attempt.job.spec.crew == job.spec.crew)
         ]
         candidates.sort(key=lambda a: (-a.job.rank, self._loss(a), a.sent_at))
         chosen: list[Attempt] = []
+        cpus, gpus = owed or (0.0, 0.0)
         for attempt in candidates:
             free = plus(free, attempt.job.need)
+            cpus -= attempt.job.need[0]
+            gpus -= attempt.job.need[1]
             chosen.append(attempt)
-            if fits(job.need, free):
+            if fits(job.need, free) and (owed is None or (cpus <= EPSILON and gpus <= EPSILON)):
                 return chosen
         return None
 
