--- a/src/poppyhold/attempts.py
+++ b/src/poppyhold/attempts.py
@@ -127,6 +127,9 @@
                 self._present(machine, chore, now)
         for attempt in list(machine.attempts.values()):
             if attempt.name not in present and self._absence_proves(attempt, report, answered):
+                if attempt.status == "sent" and attempt.via == "reply" and attempt.stopping_at is None:
+                    # Its answers do not come through: leave it alone for a while.
+                    machine.refused_until = now + ctx.times.lease_s / 2
                 self._over(attempt, now)
         self.unheard.discard(machine.name)
 
--- a/src/poppyhold/service.py
+++ b/src/poppyhold/service.py
@@ -329,6 +329,8 @@
         self.peer_hints: Hints = {}
         self.users = Users(settings, self.store, lambda: self.builds, self._count)
         self._passed_on: dict[str, float] = {}
+        self._deposed_at = float("-inf")
+        self._idle_leader: Leader | None = None
         self._reign: Reign | None = None
         self._reign_lock = threading.Lock()
         self._stop = threading.Event()
@@ -442,9 +444,7 @@
         age = time.monotonic() - max(self.store.contact_at, self._started_at)
         # What a process of ours before this one told is not above the first revision that we saw.
         told = max(self.users.told, self.election.watch.first_ledger)
-        # Workers that were passed on in the last moments, while we don't lead.
-        recent = time.monotonic() - self.settings.settings.workers.lease_s / 2
-        workers = sum(1 for at in list(self._passed_on.values()) if at > recent)
+        workers = self._workers_passed_on()
         return Ping(self.settings.member, term.baton if term else 0, term is not None, age, told, workers)
 
     def _on_ping(self, ping: Ping) -> None:
@@ -467,16 +467,27 @@
             return
         leader = self.election.leader
         # It runs, and leads nothing: the key is that of a process before it.
-        if leader is not None and leader.member == pong.member and pong.baton == 0:
-            self._suspect(leader)
+        if leader is None or leader.member != pong.member or pong.baton:
+            return
+        if self._idle_leader == leader:
+            # Told twice, so it is not that the answer and the election crossed.
+            self._idle_leader = None
+            self.election.depose(leader)
+        else:
+            self._idle_leader = leader
 
     def _refused(self, member: str) -> None:
         leader = self.election.leader
-        if leader is not None and leader.member == member:
-            self._suspect(leader)
-
-    def _suspect(self, leader: Leader) -> None:
-        if self.election.term is None:
+        if leader is None or leader.member != member or self.election.term is not None:
+            return
+        # A refusal alone proves nothing: a packet filter between controllers refuses as well, and three
+        # nodes that each depose whoever they can't reach would never let one lead. So a refusal counts
+        # by itself once in a good while, and else only if workers have turned away from the leader too.
+        now = time.monotonic()
+        lease_s = self.settings.settings.workers.lease_s
+        quiet = now - self._deposed_at
+        if quiet > 6 * lease_s or (quiet > lease_s and self._workers_passed_on() > 1):
+            self._deposed_at = now
             self.election.depose(leader)
 
     # -- requests ------------------------------------------------------------------------------------
@@ -498,6 +509,11 @@
                 return self.users.abort(job_id) if method == "POST" else self._wrong("POST")
         return answer(404, {"error": "no such path"})
 
+    def _workers_passed_on(self) -> int:
+        """Workers that turned to us in the last moments, though they follow a leader."""
+        recent = time.monotonic() - self.settings.settings.workers.lease_s / 2
+        return sum(1 for at in list(self._passed_on.values()) if at > recent)
+
     def _pass_on(self, box: str) -> None:
         self._passed_on.pop(box, None)
         self._passed_on[box] = time.monotonic()
@@ -528,7 +544,9 @@
                 return answer(200, reply)
             if self._reign is reign:
                 return answer(503, {"error": "not entitled now"})
-        self._pass_on(report.box)
+        if report.baton:
+            # A new machine's worker begins with any node; one that has a baton has left its leader.
+            self._pass_on(report.box)
         leader = self.election.leader
         if leader is None or leader.member == self.settings.member:
             return answer(421)
