--- a/src/poppyhold/controller.py
+++ b/src/poppyhold/controller.py
@@ -64,7 +64,7 @@
         self._quotas = Quotas(settings.settings.teams)
         self.attempts = Attempts(self.ctx, self._task_done, self._attempt_over, self._task_ran)
         self.admission = Admission(self.ctx, self.attempts, self._quotas)
-        self.hiring = Hiring(self.ctx, self.attempts, self._machine_gone)
+        self.hiring = Hiring(self.ctx, self.attempts, self._quotas, self._machine_gone)
         # Tasks per durable record of completions: a quarter of the largest value, four to a digit.
         self._chunk = max(64, int(settings.settings.state.value_kb * 1024 / 4) * 4)
         self._guarantees_stale = True
@@ -185,7 +185,7 @@
         if now >= self._flush_at:
             self._flush_at = now + self.ctx.times.report_s / 2
             self._save_done()
-        self.hiring.provide(lambda team: 0)
+        self.hiring.provide()
         self.ctx.dirty = True
 
     def settle(self) -> None:
--- a/src/poppyhold/fleet.py
+++ b/src/poppyhold/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections import OrderedDict
 from collections.abc import Iterable
 
@@ -26,7 +27,7 @@
 def how_many(need: Room, free: Room, most: int) -> int:
     """How many times ``need`` fits into ``free``, at most ``most``."""
     for want, have in zip(need, free, strict=True):
-        if want > 0:
+        if want > 0 and have != math.inf:
             most = min(most, int((have + EPSILON) / want))
     return max(0, most)
 
--- a/src/poppyhold/hiring.py
+++ b/src/poppyhold/hiring.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Callable, Iterable
 
 import msgspec
 
 from poppyhold.attempts import Attempts
 from poppyhold.context import OK, REFUSED, Context
-from poppyhold.fleet import NOTHING, Attempt, Machine, room_of
+from poppyhold.fleet import NOTHING, Attempt, Machine, how_many, room_of
 from poppyhold.messages import Listed
 from poppyhold.packing import Packing
+from poppyhold.placement import Quotas
 from poppyhold.provisioning import Arrivals, Demand, Provisioning, Purchase, Space, demand_of, space_of
 from poppyhold.store import HIRE, MACHINE, Data, put, remove
 
@@ -36,8 +38,10 @@
 class Hiring:
     """Rents and returns machines."""
 
-    def __init__(self, ctx: Context, attempts: Attempts, on_gone: Callable[[Machine], None]) -> None:
-        self._ctx, self._attempts, self._on_gone = ctx, attempts, on_gone
+    def __init__(
+        self, ctx: Context, attempts: Attempts, quotas: Quotas, on_gone: Callable[[Machine], None]
+    ) -> None:
+        self._ctx, self._attempts, self._quotas, self._on_gone = ctx, attempts, quotas, on_gone
         self._options = ctx.options.provisioning
         self._provisioning = Provisioning(self._options)
         # The forecast looks back over a few leases, as far as the ratio of slots to leases says.
@@ -267,7 +271,7 @@
 
     # -- how many ------------------------------------------------------------------------------------
 
-    def provide(self, allows: Callable[[str], int]) -> None:
+    def provide(self) -> None:
         """Rent what is missing, and return what is not needed."""
         ctx = self._ctx
         now = ctx.clock()
@@ -335,9 +339,18 @@
     def _demands(self, now: float) -> list[Demand]:
         ctx = self._ctx
         demands = []
-        for job in ctx.fleet.jobs.values():
+        left: dict[str, tuple[float, float]] = {}
+        # What a team's limit keeps from running needs no machine yet.
+        for job in sorted(ctx.fleet.jobs.values(), key=lambda job: (job.rank, job.at)):
             if job.pending > 0 and not job.over and job.failures < 4:
-                demands.append(demand_of(job, job.pending))
+                team = job.spec.crew
+                if team not in left:
+                    left[team] = self._quotas.left(team, ctx.fleet.used.get(team, [0.0, 0.0]))
+                cpus, gpus = left[team]
+                most = how_many(job.need, (cpus, gpus, math.inf), job.pending)
+                left[team] = (cpus - most * job.need[0], gpus - most * job.need[1])
+                if most:
+                    demands.append(demand_of(job, most))
         boots = [build.startupS for build in ctx.builds.values()]
         ahead = sum(boots) / len(boots) + ctx.times.report_s
         return demands + self.arrivals.forecast(now, ahead, self._options.headroom)
--- a/src/poppyhold/placement.py
+++ b/src/poppyhold/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -45,6 +46,16 @@
             or (limits.gpus_max > 0 and used[1] + need[1] > limits.gpus_max + 1e-6)
         )
 
+    def left(self, team: str, used: list[float]) -> tuple[float, float]:
+        """What the team's limit leaves beside what is used."""
+        limits = self._teams.get(team)
+        if limits is None:
+            return 0.0, 0.0
+        return (
+            limits.cpus_max - used[0] if limits.cpus_max > 0 else math.inf,
+            limits.gpus_max - used[1] if limits.gpus_max > 0 else math.inf,
+        )
+
     def excess(self, team: str, used: tuple[float, float], need: Room) -> tuple[float, float]:
         """By how much one more task would go beyond the team's limit."""
         limits = self._teams[team]
