--- a/src/poppyhold/attempts.py
+++ b/src/poppyhold/attempts.py
@@ -202,6 +202,7 @@
         if chore.cause == "error":
             machine.errors.add(job.id)
             job.failures += 1
+            job.failed_on.add(machine.name)
             # A job with a mistake in it fails everywhere: it comes back ever more slowly.
             pause = self._ctx.times.report_s * 2 ** min(job.failures, 8)
             job.retry_at = now + min(pause, self._ctx.times.cancel_s)
--- a/src/poppyhold/fleet.py
+++ b/src/poppyhold/fleet.py
@@ -103,6 +103,7 @@
     saving: bool = False
     saved_chunks: set[int] = msgspec.field(default_factory=set)
     failures: int = 0
+    failed_on: set[str] = msgspec.field(default_factory=set)
     retry_at: float = 0.0
     zones: dict[str, int] = msgspec.field(default_factory=dict)
 
--- a/src/poppyhold/hiring.py
+++ b/src/poppyhold/hiring.py
@@ -218,8 +218,7 @@
                     silent.append(machine)
             if quiet > times.lease_s:
                 self._attempts.expire(machine, now)
-            if len(machine.errors) > 1:
-                # Different jobs fail on it: the machine is at fault.
+            if len(machine.errors) > 1 and self._at_fault(machine):
                 machine.leaving = True
         if len(silent) * 2 >= up and len(silent) > 1 and ctx.edges.peers_hear() > 0:
             # They try the other controllers: it is our own way to them that is broken.
@@ -244,6 +243,14 @@
             machine.deleting = True
             log.info("delete %s (%s, %s): %s", machine.name, machine.build.name, machine.zone, why)
 
+    def _at_fault(self, machine: Machine) -> bool:
+        """Whether different jobs fail on it that do not fail elsewhere as well.
+
+        A job with a mistake in it fails on every machine: two of those must not cost the whole fleet.
+        """
+        jobs = [self._ctx.fleet.jobs.get(job_id) for job_id in machine.errors]
+        return sum(1 for job in jobs if job is not None and len(job.failed_on) <= 2) > 1
+
     def _delete(self) -> None:
         if self._deleting:
             return
--- a/src/poppyhold/placement.py
+++ b/src/poppyhold/placement.py
@@ -160,6 +160,8 @@
         """Seconds that a placement costs; what is no wait is weighed as parts of a boot time."""
         boot = machine.build.startupS
         score = fetch_wait(machine, job)
+        if machine.name in job.failed_on:
+            score += boot
         # Packing: machines that are nearly full first, so that others empty.
         capacity = machine.capacity
         left = max(
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -146,6 +146,7 @@
         self.chores: dict[str, Data] = {}
         self.images: set[str] = set()
         self.gone = False
+        self.faulty = False
 
     def report(self) -> Data:
         """A report of now."""
@@ -194,6 +195,9 @@
             if chore["status"] == "pulling":
                 job = chore["job"]
                 self.images.add(job["bundle"])
+                if self.faulty or job.get("mistake"):
+                    chore.update(status="ended", cause="error", until=None)
+                    continue
                 chore["status"] = "running"
                 chore["until"] = None if job["shape"] == "service" else now + job["runs"]
                 self._on_start(self, name)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -130,6 +130,9 @@
                 lambda name=name: self.world.troubles[name].discard(kind),  # type: ignore[misc]
             )
 
+    def do_faulty(self, machine: str) -> None:
+        self.world.workers[machine].faulty = True
+
     def do_die(self, machine: str) -> None:
         self.world.end_worker(machine)
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -568,7 +568,7 @@
     def submit(self, job: Data) -> Answer:
         """A user submits, and tries again until the answer is final."""
         self.jobs[job["nameId"]] = job
-        wire = {key: value for key, value in job.items() if key != "runs"}
+        wire = {key: value for key, value in job.items() if key not in ("runs", "mistake")}
         result = self._any_node(lambda node: node.users.submit(encode(wire)))
         if result is None or result[0] in (429, 503):
             self.after(1.0, lambda: self._resubmit(job))
