Nodes stay ready in an outage of the state service

Cause: a node whose last word from the state service was a little older than its peers' called itself not ready at the start of an outage, and the balancer took its time to take it back.

--- a/src/poppyhold/peers.py
+++ b/src/poppyhold/peers.py
@@ -85,9 +85,9 @@
 
     # It had not told a user anything that we may not know, up to this moment of our clock.
     blind_until: float
-    # Moment of the last answer, and whether it had the state service then.
+    # Moments of its last answer, and of its last word from the state service.
     heard_at: float
-    has_state: bool
+    contact_at: float
     workers: int
 
 
@@ -211,5 +211,5 @@
         # question it has told nobody anything that we don't know.
         if 0 <= pong.told <= self._known_ledger():
             blind_until = asked
-        has_state = pong.state_age_s < 4 * self._timeout_s
-        self.views[member] = PeerView(blind_until, answered, has_state, pong.workers)
+        contact_at = asked - pong.state_age_s
+        self.views[member] = PeerView(blind_until, answered, contact_at, pong.workers)
--- a/src/poppyhold/service.py
+++ b/src/poppyhold/service.py
@@ -525,10 +525,12 @@
         return answer(405, {"error": "method"}, Allow=allowed)
 
     def _is_ready(self) -> Answer:
-        # In an outage of the state service every node is as good as another; one that alone has
-        # lost it should not be sent users.
-        cut_off = time.monotonic() - self.store.contact_at > self._ready_s
-        if not self.builds or (cut_off and any(v.has_state for v in self.peers.views.values())):
+        # One that alone has lost the state service should not be sent users. In an outage every node is
+        # as good as another, and none may say otherwise: balancers are slow to take a node back. Nodes
+        # hear from the state service at different moments, so only a clear lead of a peer counts.
+        ours = max(self.store.contact_at, self._started_at)
+        behind = any(view.contact_at - ours > self._ready_s for view in self.peers.views.values())
+        if not self.builds or behind:
             return answer(503, {"error": "not ready"}, Retry_After="1")
         return answer(200, {"member": self.settings.member})
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -379,7 +379,7 @@
             told = max(other.users.told, other.told_floor)
             known = self.reign.ledger if self.reign is not None else -1
             if 0 <= told <= known:
-                self.views[other.member] = PeerView(world.now, world.now, True, 0)
+                self.views[other.member] = PeerView(world.now, world.now, world.now, 0)
 
 
 class SimWorker(WorkerStandIn):
