--- a/src/poppyhold/attempts.py
+++ b/src/poppyhold/attempts.py
@@ -298,6 +298,9 @@
 
     def _do(self, machine: Machine, orders: list[Order]) -> None:
         ctx = self._ctx
+        # A start that waited here may be void by now: its session ended and the task runs elsewhere, or it
+        # is to be stopped. What was never sent is over.
+        orders = [order for order in orders if order["verb"] != "run" or self._wanted(machine, order)]
         machine.do_busy = True
         runs = [str(order["chore"]) for order in orders if order["verb"] == "run"]
         batch = [machine.attempts[name] for name in runs if name in machine.attempts]
@@ -310,6 +313,15 @@
 
         ctx.edges.do(machine.name, machine.endpoint, body, answered, silent and bool(machine.heard))
 
+    def _wanted(self, machine: Machine, order: Order) -> bool:
+        attempt = machine.attempts.get(order["chore"])
+        if attempt is None or attempt.number != order["try"]:
+            return False
+        if attempt.stopping_at is not None:
+            self._over(attempt, self._ctx.clock())
+            return False
+        return True
+
     def _answered(self, machine: Machine, batch: list[Attempt], outcome: str, report: Report | None) -> None:
         ctx = self._ctx
         now = ctx.clock()
