--- a/src/poppyhold/admission.py
+++ b/src/poppyhold/admission.py
@@ -61,7 +61,7 @@
         self.ledger = Ledger(design.horizon_slots)
         self.pricing = Pricing(design)
         self.planner = Planner(self.pricing, self.ledger, ctx.times.slot_s, design.work_units)
-        self.placement = Placement(quotas, lambda: ctx.times.lease_s)
+        self.placement = Placement()
         self.estimates = Estimates()
         self.ledger.first = self._slot()
         self._released = True
--- a/src/poppyhold/attempts.py
+++ b/src/poppyhold/attempts.py
@@ -55,7 +55,6 @@
         if not machine.up:
             machine.up = True
             machine.up_at = now
-            machine.idle_since = now
             ctx.dirty = True
         self._record(machine)
         orders: list[Order] = []
@@ -107,7 +106,7 @@
                 machine.shaky_until = now + ctx.times.cancel_s
             for attempt in list(machine.attempts.values()):
                 if attempt.shift < report.shift:
-                    self._over(attempt, now)
+                    self._over(attempt)
         machine.shift, machine.tally = report.shift, report.tally
         machine.last_report = now
         machine.strangers = set()
@@ -130,7 +129,7 @@
                 if attempt.status == "sent" and attempt.via == "reply" and attempt.stopping_at is None:
                     # Its answers do not come through: leave it alone for a while.
                     machine.refused_until = now + ctx.times.lease_s / 2
-                self._over(attempt, now)
+                self._over(attempt)
         self.unheard.discard(machine.name)
 
     @staticmethod
@@ -194,7 +193,7 @@
         elif ours and attempt is not None:
             self._failed(attempt, chore, now)
         if ours and attempt is not None:
-            self._over(attempt, now)
+            self._over(attempt)
 
     def _failed(self, attempt: Attempt, chore: Chore, now: float) -> None:
         job, machine = attempt.job, attempt.machine
@@ -211,10 +210,10 @@
         elif chore.cause == "no_such":
             job.retry_at = now + self._ctx.times.report_s
 
-    def _over(self, attempt: Attempt, now: float) -> None:
+    def _over(self, attempt: Attempt) -> None:
         log.debug("over: %s on %s, was %s", attempt.name, attempt.machine.name, attempt.status)
         self._on_over(attempt)
-        self._ctx.fleet.remove(attempt, now)
+        self._ctx.fleet.remove(attempt)
         self._ctx.dirty = True
 
     # -- orders ----------------------------------------------------------------------------------
@@ -277,7 +276,7 @@
             attempt.leeway_s = min(attempt.leeway_s, leeway_s)
         if attempt.status == "sent" and attempt.via == "reply" and attempt.reply_tally < 0:
             # Its start was never handed out.
-            self._over(attempt, now)
+            self._over(attempt)
             return
         if direct:
             attempt.machine.direct.append(self._stop_order(attempt, now))
@@ -318,7 +317,7 @@
         if attempt is None or attempt.number != order["try"]:
             return False
         if attempt.stopping_at is not None:
-            self._over(attempt, self._ctx.clock())
+            self._over(attempt)
             return False
         return True
 
@@ -339,7 +338,7 @@
                 continue
             if outcome in (REFUSED, UNSENT):
                 # Nothing was executed, and nothing can be later.
-                self._over(attempt, now)
+                self._over(attempt)
             elif outcome == UNSURE:
                 attempt.fence = ctx.baton + 1
         if outcome in (UNSENT, UNSURE):
@@ -404,14 +403,14 @@
         if now <= bound or self._ctx.edges.confirmed_at() <= bound:
             return
         for attempt in list(machine.attempts.values()):
-            self._over(attempt, now)
+            self._over(attempt)
         self.unheard.discard(machine.name)
 
     def gone(self, machine: Machine) -> None:
         """A machine is gone for certain, with all that was on it."""
         now = self._ctx.clock()
         for attempt in list(machine.attempts.values()):
-            self._over(attempt, now)
+            self._over(attempt)
         self.unheard.discard(machine.name)
         self._ctx.fleet.machines.pop(machine.name, None)
         self._ctx.dead[machine.name] = now
--- a/src/poppyhold/fleet.py
+++ b/src/poppyhold/fleet.py
@@ -184,7 +184,6 @@
     # Orders for the worker: directly, and with the next answer to its reports.
     direct: list[dict[str, object]] = msgspec.field(default_factory=list)
     errors: set[str] = msgspec.field(default_factory=set)
-    idle_since: float = 0.0
     # Tasks on it that are none of ours: they are stopped, and nothing starts beside them.
     strangers: set[str] = msgspec.field(default_factory=set)
     refused_until: float = 0.0
@@ -247,15 +246,13 @@
         used[0] += job.need[0]
         used[1] += job.need[1]
 
-    def remove(self, attempt: Attempt, now: float) -> None:
+    def remove(self, attempt: Attempt) -> None:
         """An attempt is proven to be over: its task is pending, unless it is done."""
         job, machine = attempt.job, attempt.machine
         del job.active[attempt.index]
         job.zones[machine.zone] -= 1
         del machine.attempts[attempt.name]
         machine.used = plus(machine.used, job.need, -1.0) if machine.attempts else NOTHING
-        if not machine.attempts:
-            machine.idle_since = now
         used = self.used[job.spec.crew]
         used[0] -= job.need[0]
         used[1] -= job.need[1]
--- a/src/poppyhold/placement.py
+++ b/src/poppyhold/placement.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 import msgspec
 
@@ -129,10 +129,6 @@
 class Placement:
     """Chooses machines by the wait for their image, then by how they pack."""
 
-    def __init__(self, quotas: Quotas, boot_s: Callable[[], float]) -> None:
-        self._quotas = quotas
-        self._boot_s = boot_s
-
     def best(
         self, job: Job, machines: Iterable[Machine], reserved: dict[str, Room] | None = None
     ) -> Choice | None:
--- a/src/poppyhold/provisioning.py
+++ b/src/poppyhold/provisioning.py
@@ -8,10 +8,9 @@
 
 import msgspec
 
-from poppyhold.fleet import Job, Machine, Room, allowed_builds, fits, how_many, plus, room_of, zone_limit
+from poppyhold.fleet import Job, Machine, Room, allowed_builds, how_many, plus, room_of, zone_limit
 from poppyhold.messages import Build, Submission
 from poppyhold.options import Provisioning as ProvisioningOptions
-from poppyhold.pricing import shares_of
 
 HIRE_LIMIT = 50
 # Parts of the forecast's window that are told apart.
@@ -238,8 +237,3 @@
 def demand_of(job: Job, most: int) -> Demand:
     """What a job's pending tasks need, at most ``most`` of them."""
     return Demand(job.spec, job.need, min(job.pending, most), dict(job.zones))
-
-
-def share(need: Room, build: Build) -> float:
-    """Machine shares of a task on a type."""
-    return shares_of(need, room_of(build)) if fits(need, room_of(build)) else float("inf")
