One formula for how long a leader may answer unconfirmed; one plain job for the tests

The bound stood in Times and again in the node and in the scenarios' world: both now take it from Times. A list in the packing that nothing read is gone. Behaviour is the same.

--- a/src/poppyhold/packing.py
+++ b/src/poppyhold/packing.py
@@ -67,7 +67,6 @@
     @staticmethod
     def _fits(machine: Machine, others: list[Space]) -> bool:
         taken: dict[int, tuple[float, float, float]] = {}
-        moves: list[tuple[Space, Attempt]] = []
         attempts = sorted(machine.attempts.values(), key=lambda a: -shares_of(a.job.need, machine.capacity))
         zones: dict[tuple[str, str], int] = {}
         for attempt in attempts:
@@ -86,7 +85,6 @@
                     continue
                 taken[index] = plus(free, job.need, -1.0)
                 zones[(job.id, target.zone)] = moved
-                moves.append((space, attempt))
                 break
             else:
                 return False
--- a/src/poppyhold/service.py
+++ b/src/poppyhold/service.py
@@ -14,7 +14,7 @@
 
 from poppyhold.authority import Authority
 from poppyhold.cloud import CloudClient, CloudThread
-from poppyhold.context import Data, Hints
+from poppyhold.context import Data, Hints, Times
 from poppyhold.controller import Controller, Snapshot
 from poppyhold.election import Election, Leader, Term
 from poppyhold.http import Answer, Server, answer
@@ -347,9 +347,8 @@
             self._refused,
         )
         workers = settings.settings.workers
-        lease_over_s = workers.lease_s * 1.001 + workers.report_s * 0.25
         self.authority = Authority(
-            workers.cancel_s - lease_over_s - workers.report_s * 2,
+            Times(settings, options).blind_answers_s,
             [known.member for known in settings.known],
             lambda: self.peers.views,
         )
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -7,9 +7,10 @@
 
 import pytest
 
+import world
 from poppyhold.fleet import Job, fits, make_job, plus
 from poppyhold.ledger import Ledger
-from poppyhold.messages import Submission
+from poppyhold.messages import Submission, parse_submission
 from poppyhold.options import Design
 from poppyhold.planner import Planner
 from poppyhold.pricing import Pricing, shares_of
@@ -19,26 +20,7 @@
 
 def submission(**changes: object) -> Submission:
     """A plain job; ``changes`` replace fields."""
-    fields: dict[str, object] = {
-        "nameId": "job-000001",
-        "lot": "sweep",
-        "crew": "team",
-        "shape": "array",
-        "rank": "standard",
-        "chores": 2,
-        "cpus": 4.0,
-        "accelerators": 1.0,
-        "memGb": 10.0,
-        "bundle": "image",
-        "sizeGb": 1.0,
-        "samePlace": False,
-        "apart": False,
-        "loaners": False,
-        "guessS": 50.0,
-        "bookmarkS": 0.0,
-        "stashS": 0.0,
-    }
-    return Submission(**(fields | changes))  # type: ignore[arg-type]
+    return parse_submission(world.submission("job-000001", changes))
 
 
 def make_planner(horizon: int, machines: int, units: int = 16) -> tuple[Planner, Ledger, Pricing]:
--- a/tests/world.py
+++ b/tests/world.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from poppyhold.authority import Authority
-from poppyhold.context import OK, REFUSED, UNSENT, UNSURE
+from poppyhold.context import OK, REFUSED, UNSENT, UNSURE, Times
 from poppyhold.controller import Controller, Snapshot
 from poppyhold.http import Answer
 from poppyhold.messages import Build, Listed, Report, convert, encode, parse_report
@@ -278,9 +278,8 @@
         self.told_floor = -1
         self.views: dict[str, PeerView] = {}
         self.passed_on: dict[str, float] = {}
-        workers = self.world.settings.settings.workers
         self.authority = Authority(
-            workers.cancel_s - workers.lease_s * 1.001 - workers.report_s * 2.25,
+            Times(self.world.settings, Options()).blind_answers_s,
             [m for m in self.world.members if m != self.member],
             lambda: self.views,
         )
