Jobs share the machines that one round of hires brings

Cause: every job that lacked room rented whole machines of its own, so a fleet that began empty rented 46 ordinary machines at once where 15 have the room; they were idle for minutes. Ruled out: no capacity (never refused), forecasts (none at the start).

--- a/src/poppyhold/provisioning.py
+++ b/src/poppyhold/provisioning.py
@@ -128,16 +128,14 @@
         now: float,
     ) -> list[Purchase]:
         """Mark the spaces that demand uses, and say what to rent for the rest."""
-        missing: list[Demand] = []
+        bought: dict[tuple[str, str, bool], int] = {}
         # Largest tasks first, and real ones before forecasts of the same size.
         for demand in sorted(demands, key=lambda d: (d.forecast, -d.need[1], -d.need[0])):
-            left = self._fit(demand, spaces)
-            if left:
-                demand.tasks = left
-                missing.append(demand)
-        bought: dict[tuple[str, str, bool], int] = {}
-        for demand in missing:
-            self._buy(demand, builds, spaces, bought, now)
+            demand.tasks = self._fit(demand, spaces)
+            if demand.tasks:
+                # What one job's machines have left is there for the next: each bought whole machines
+                # of its own once, and a fleet that began empty rented two and a half times its need.
+                self._buy(demand, builds, spaces, bought, now)
         return [Purchase(build, zone, spot, min(n, HIRE_LIMIT)) for (build, zone, spot), n in bought.items()]
 
     def _fit(self, demand: Demand, spaces: list[Space]) -> int:
