Stop whose work is lost least; workers wait half a second for a leader to be named

Preempted tasks: the loss of one is what it ran since it last saved, more if it then misses its deadline, nothing if it has missed it; a preempted task is late only by its rest. Cause: tasks stopped soon before their deadline waited behind every job that could still meet its own. Workers that come between two leaders were sent on without a name and came back a second later.

--- a/src/poppyhold/admission.py
+++ b/src/poppyhold/admission.py
@@ -82,7 +82,7 @@
         self.ledger = Ledger(design.horizon_slots)
         self.pricing = Pricing(design)
         self.planner = Planner(self.pricing, self.ledger, ctx.times.slot_s, design.work_units)
-        self.placement = Placement()
+        self.placement = Placement(self._loss)
         self.estimates = Estimates()
         self.ledger.first = self._slot()
         self._released = True
@@ -134,7 +134,12 @@
         self.ledger.book(attempt.machine.name, job.need, self.ledger.first, last, times)
 
     def over(self, attempt: Attempt) -> None:
-        """An attempt is over: what it booked is released."""
+        """An attempt is over: what it booked is released, and what it saved is there for the next."""
+        job = attempt.job
+        if job.spec.bookmarkS > 0 and attempt.running_at is not None:
+            ran = self._ctx.clock() - attempt.running_at
+            saved = ran // job.spec.bookmarkS * job.spec.bookmarkS
+            job.progress[attempt.index] = job.progress.get(attempt.index, 0.0) + saved
         self._book(attempt, -1.0)
         self._released = True
 
@@ -301,12 +306,31 @@
         times = self._ctx.times
         if job.due_at is None:
             return job.rank, not job.guaranteed, 1, job.at, job.id
-        latest_start = job.due_at - self.estimates.seconds(job)
+        latest_start = job.due_at - max(0.0, self.estimates.seconds(job) - job.saved_s())
         group = 1 if now <= latest_start else 2
         if not job.active and not job.done and now - job.at > times.lease_s * _PATIENCE_LEASES:
             group = 0
         return job.rank, not job.guaranteed, group, latest_start, job.id
 
+    def _loss(self, victim: Attempt) -> float:
+        """Seconds that are lost with an attempt: of its work, and of the wait for what takes its place."""
+        job, boot = victim.job, victim.machine.build.startupS
+        if job.service:
+            # Somebody waits for a replica all the time; an array's task only at its end.
+            return boot
+        if victim.running_at is None:
+            return 0.0
+        now = self._ctx.clock()
+        ran = now - victim.running_at
+        lost = ran % job.spec.bookmarkS if job.spec.bookmarkS > 0 else ran
+        if job.due_at is not None:
+            # Whom it makes late is stopped last, and who is late anyway has nothing more to lose.
+            rest = max(0.0, self.estimates.seconds(job) - job.progress.get(victim.index, 0.0) - ran)
+            slack = job.due_at - now - rest
+            if 0 <= slack < lost + self._ctx.times.lease_s:
+                lost += boot
+        return lost
+
     def _unknown_use(self) -> Room:
         """Room that may be in use on machines whose tasks we can't know: it counts for every team."""
         total = NOTHING
--- a/src/poppyhold/election.py
+++ b/src/poppyhold/election.py
@@ -70,6 +70,8 @@
         self._stopped = False
         self._resting_until = 0.0
         self.leader: Leader | None = None
+        self._named = threading.Condition()
+        self._snapshot_seen = False
         self.term: Term | None = None
         # The term was certainly ours at this moment.
         self.confirmed_at = float("-inf")
@@ -118,6 +120,19 @@
             if self.term is not None:
                 self.term = self.term._replace(baton=baton)
 
+    def await_leader(self, timeout: float) -> Leader | None:
+        """The leader; if there is none, wait a moment for the election to name one."""
+        with self._named:
+            if self.leader is None and not self._stopped:
+                self._named.wait(timeout)
+            return self.leader
+
+    def _name(self, leader: Leader | None) -> None:
+        with self._named:
+            self.leader = leader
+            if leader is not None:
+                self._named.notify_all()
+
     def depose(self, leader: Leader) -> None:
         """End the lease of a leader whose process is gone. This is safe even if it is not:
 
@@ -134,6 +149,7 @@
             log.debug("lease %s: %s", permit, error)
 
     def _on_snapshot(self, entries: list[Entry]) -> None:
+        self._snapshot_seen = True
         self._seen(next((entry for entry in entries if entry.key == LEAD), None))
 
     def _on_change(self, change: Entry | str, stamp: int) -> None:
@@ -151,10 +167,10 @@
             leader = Leader(data["member"], data["baton"], data["permit"], entry.stamp)
         term = self.term
         if term is not None and (leader is None or leader.stamp > term.stamp):
-            self.leader = leader
+            self._name(leader)
             self.deposed("the leader's key changed")
         elif term is None or (leader is not None and leader.stamp == term.stamp):
-            self.leader = leader
+            self._name(leader)
         self._wake.set()
 
     def _run(self) -> None:
@@ -192,7 +208,7 @@
         now = time.monotonic()
         if now < self._resting_until:
             return self._resting_until - now
-        if self.watch.synced_at == float("-inf"):
+        if not self._snapshot_seen:
             return self._renew_s / 4
         leader = self.leader
         if leader is not None:
@@ -229,3 +245,5 @@
             self.confirmed_at = asked
         log.info("leading with baton %d", baton)
         self._on_elected(term)
+        with self._named:
+            self._named.notify_all()
--- a/src/poppyhold/fleet.py
+++ b/src/poppyhold/fleet.py
@@ -87,6 +87,8 @@
     unsaved: set[int] = msgspec.field(default_factory=set)
     next_index: int = 0
     returned: list[int] = msgspec.field(default_factory=list)
+    # Seconds of work that tasks have saved, as far as we saw them run.
+    progress: dict[int, float] = msgspec.field(default_factory=dict)
     admitted: bool = False
     # No controller has ever started a task of it before our term.
     fresh: bool = True
@@ -132,6 +134,15 @@
         """Tasks that run, for display."""
         return sum(1 for attempt in self.active.values() if attempt.status in ("running", "flushing"))
 
+    def saved_s(self) -> float:
+        """Seconds of work that every pending task has saved; its job is late only by the rest."""
+        if not self.progress:
+            return 0.0
+        waiting = {index for index in self.returned if self.states[index] == PENDING}
+        if not waiting or len(waiting) < self.pending:
+            return 0.0
+        return min(self.progress.get(index, 0.0) for index in waiting)
+
     def next_pending(self) -> int | None:
         """The pending task to start next: one that came back, else the lowest not started yet."""
         while self.returned and self.states[self.returned[0]] != PENDING:
--- a/src/poppyhold/placement.py
+++ b/src/poppyhold/placement.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -129,7 +129,9 @@
 class Placement:
     """Chooses machines by the wait for their image, then by how they pack."""
 
-    def __init__(self) -> None:
+    def __init__(self, loss: Callable[[Attempt], float]) -> None:
+        # Seconds of work, or of waiting, that are lost with an attempt.
+        self._loss = loss
         # Team, priority and guarantee of whoever needs room -> what it may preempt, by machine.
         self._preemptible: dict[tuple[str, int, bool], list[tuple[Machine, list[Attempt]]]] = {}
         self._machines: list[Machine] = []
@@ -231,20 +233,8 @@
             self._preemptible[claim] = found
         return found
 
-    @staticmethod
-    def _loss(victim: Attempt) -> float:
-        """Work lost with a victim, roughly: what it ran since it began or last saved."""
-        spec = victim.job.spec
-        if victim.job.service:
-            # Somebody waits for a replica all the time; an array's task only at its end.
-            return victim.machine.build.startupS
-        if victim.running_at is None:
-            return 0.0
-        return spec.bookmarkS / 2 if spec.bookmarkS > 0 else spec.guessS / 2
-
-    @staticmethod
     def _victims(
-        job: Job, machine: Machine, candidates: list[Attempt], owed: tuple[float, float] | None
+        self, job: Job, machine: Machine, candidates: list[Attempt], owed: tuple[float, float] | None
     ) -> list[Attempt] | None:
         free = machine.free
         if owed is None and fits(job.need, free):
@@ -259,7 +249,7 @@
             most = plus(most, attempt.job.need)
         if not fits(job.need, most):
             return None
-        left.sort(key=lambda a: (-a.job.rank, Placement._loss(a), a.sent_at))
+        left.sort(key=lambda a: (-a.job.rank, self._loss(a), -a.sent_at))
         chosen: list[Attempt] = []
         cpus, gpus = owed or (0.0, 0.0)
         for attempt in left:
--- a/src/poppyhold/service.py
+++ b/src/poppyhold/service.py
@@ -204,7 +204,9 @@
 
     def hello(self, report: Report, timeout: float) -> Data | None:
         """Have a report answered by the decision thread."""
-        if not self._ready.is_set():
+        # A worker that is turned away comes back a second later, when its lease may be over: while the
+        # fleet's state is read it had better wait.
+        if not self._ready.wait(timeout):
             return None
         result: list[Data | None] = [None]
         turn = threading.Lock()
@@ -357,6 +359,9 @@
             lambda: self.peers.views,
         )
         self._hello_timeout = workers.report_s * 2.5
+        # A worker that is not told where to go tries another node a second later. Where all nodes have just
+        # come back, that second decides whether leases end; an election takes far less.
+        self._naming_s = workers.report_s / 2
         self._ready_s = workers.lease_s * 0.35
         limit = int(settings.settings.machine_limits.max_sockets * 0.75)
         self.server = Server(split_address(settings.client_listen), self.route, limit)
@@ -542,17 +547,27 @@
             report = parse_report(decode(body))
         except Malformed as error:
             return answer(400, {"error": str(error)})
-        reign = self._reign
-        if reign is not None:
-            reply = reign.hello(report, self._hello_timeout)
-            if reply is not None:
-                return answer(200, reply)
-            if self._reign is reign:
-                return answer(503, {"error": "not entitled now"})
+        reply = self._answer_report(report)
+        if reply is not None:
+            return reply
         if report.baton:
             # A new machine's worker begins with any node; one that has a baton has left its leader.
             self._pass_on(report.box)
-        leader = self.election.leader
+        leader = self.election.await_leader(self._naming_s)
+        reply = self._answer_report(report)
+        if reply is not None:
+            # The election has named us meanwhile.
+            return reply
         if leader is None or leader.member == self.settings.member:
             return answer(421)
         return answer(421, {"foreman": leader.member})
+
+    def _answer_report(self, report: Report) -> Answer | None:
+        """The leader's answer; None if we don't lead."""
+        reign = self._reign
+        if reign is None:
+            return None
+        reply = reign.hello(report, self._hello_timeout)
+        if reply is not None:
+            return answer(200, reply)
+        return answer(503, {"error": "not entitled now"}) if self._reign is reign else None
