A second start on a machine counts the room that the first one's victims free; least work first

Cause, from a scenario's log: when two replicas took room on one machine in one pass, the first's victims still counted as in use, so the second took its own victims and the first's again, a third one more. Scenario preemption now fails without the change (a task of the array started twice). Order among waiting arrays: least work left first, those that can't meet their deadline behind, patience as before.

--- a/src/poppyhold/admission.py
+++ b/src/poppyhold/admission.py
@@ -297,20 +297,23 @@
             if job.pending > 0:
                 self._start_some(job, job.pending, reserved)
 
-    def _urgency(self, job: Job, now: float) -> tuple[int, bool, int, float, str]:
+    def _urgency(self, job: Job, now: float) -> tuple[int, bool, int, float, float, str]:
         """Order of the jobs that wait: priority, guarantee, and then by what their value does.
 
         A job that can still meet its deadline loses value by waiting; one that can't has lost it already.
-        One that has waited too long to begin goes first all the same, so that none starves.
+        Among those alike, the one with the least work left goes first: under overload that serves the most
+        of them, where the most urgent first makes all of them late. One that has waited too long to begin
+        goes first all the same, so that none starves.
         """
-        times = self._ctx.times
-        if job.due_at is None:
-            return job.rank, not job.guaranteed, 1, job.at, job.id
-        latest_start = job.due_at - max(0.0, self.estimates.seconds(job) - job.saved_s())
-        group = 1 if now <= latest_start else 2
-        if not job.active and not job.done and now - job.at > times.lease_s * _PATIENCE_LEASES:
+        spec = job.spec
+        if job.service:
+            return job.rank, not job.guaranteed, 1, 0.0, job.at, job.id
+        rest = max(0.0, self.estimates.seconds(job) - job.saved_s())
+        group = 1 if job.due_at is None or now + rest <= job.due_at else 2
+        if not job.active and not job.done and now - job.at > self._ctx.times.lease_s * _PATIENCE_LEASES:
             group = 0
-        return job.rank, not job.guaranteed, group, latest_start, job.id
+        work = rest * job.pending * (spec.accelerators or spec.cpus)
+        return job.rank, not job.guaranteed, group, work, job.at, job.id
 
     def _loss(self, victim: Attempt) -> float:
         """Seconds that are lost with an attempt: of its work, and of the wait for what takes its place."""
@@ -453,6 +456,7 @@
 
     def _start(self, job: Job, index: int, choice: Choice) -> None:
         attempt = self._attempts.start(job, index, choice.machine, choice.victims)
+        self.placement.take(choice)
         self._use_booking(job, choice.machine.name)
         self._book(attempt, 1.0)
 
--- a/src/poppyhold/placement.py
+++ b/src/poppyhold/placement.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from poppyhold.fleet import EPSILON, Attempt, Job, Machine, Room, fits, plus, zone_limit
+from poppyhold.fleet import EPSILON, NOTHING, Attempt, Job, Machine, Room, fits, plus, zone_limit
 from poppyhold.settings import Team
 
 # Fetches take a third longer at times, as PROTOCOL says.
@@ -139,6 +139,8 @@
         self._loss = loss
         # Team, priority and guarantee of whoever needs room -> what it may preempt, by machine.
         self._preemptible: dict[tuple[str, int, bool], list[tuple[Machine, list[Attempt]]]] = {}
+        # Room that stops of this pass will have freed before anything else that it starts there.
+        self._freed: dict[str, Room] = {}
         self._machines: list[Machine] = []
         self._running: list[Job] = []
 
@@ -147,6 +149,13 @@
         self._machines, self._running = machines, running
         self._fastest = max((machine.build.pullGbPerS for machine in machines), default=0.0)
         self._preemptible.clear()
+        self._freed.clear()
+
+    def take(self, choice: Choice) -> None:
+        """A choice was carried out: the stops come before any later start on the machine."""
+        for victim in choice.victims:
+            name = choice.machine.name
+            self._freed[name] = plus(self._freed.get(name, NOTHING), victim.job.need)
 
     def in_time(self, job: Job, wait: float) -> bool:
         """Whether a task that waits so long for its image starts within what its users expect."""
@@ -254,6 +263,11 @@
         free = machine.free
         if owed is None and fits(job.need, free):
             return None
+        # A second start beside an earlier one's victims: were their room not counted, it would take as many
+        # victims again, and a third one more than that.
+        free = plus(free, self._freed.get(machine.name, NOTHING))
+        if owed is None and fits(job.need, free):
+            return []
         left = [
             attempt
             for attempt in candidates
