At the limit of connections silent ones make room, and workers stay

Cause: the limit counted all connections alike, so that many silent or half-open ones would have kept workers out until their leases end. Seen by reading and shown by a test (test_silent_connections_make_room_and_workers_stay).

--- a/src/poppyhold/http.py
+++ b/src/poppyhold/http.py
@@ -20,6 +20,8 @@
 Route = Callable[[str, str, bytes], Answer]
 
 _IDLE_S = 65.0
+# Who asks for this path is a worker: its connection is never closed for another's sake.
+_REPORTS = "/hello"
 
 
 def answer(status: int, body: dict[str, Any] | None = None, **headers: str) -> Answer:
@@ -54,6 +56,7 @@
         if len(body) < length:
             self.close_connection = True
             return
+        self.server.used(self.connection, self.path == _REPORTS)
         try:
             result = self.server.route(self.command, self.path, body)
         except Exception:
@@ -83,7 +86,11 @@
 
 
 class Server(socketserver.ThreadingMixIn, http.server.HTTPServer):
-    """One thread per connection, at most ``limit`` connections."""
+    """One thread per connection, at most ``limit`` connections.
+
+    At the limit the connection that has been silent longest makes room, workers' aside: many silent or
+    half-open ones would otherwise keep the workers out, and their leases would end.
+    """
 
     daemon_threads = True
     block_on_close = False
@@ -93,7 +100,8 @@
     def __init__(self, address: tuple[str, int], route: Route, limit: int) -> None:
         self.route = route
         self._limit = limit
-        self._open: set[socket.socket] = set()
+        # When each was used last; never to be closed: workers'.
+        self._open: dict[socket.socket, float] = {}
         self._lock = threading.Lock()
         super().__init__(address, _Handler)
 
@@ -105,13 +113,27 @@
     def verify_request(self, request: Any, client_address: Any) -> bool:
         with self._lock:
             if len(self._open) >= self._limit:
-                return False
-            self._open.add(request)
+                oldest = min(self._open, key=lambda held: self._open[held])
+                if self._open[oldest] == float("inf"):
+                    return False
+                del self._open[oldest]
+                try:
+                    # Its thread wakes up, and closes it.
+                    oldest.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    log.debug("a silent connection was gone already")
+            self._open[request] = time.monotonic()
         return True
 
+    def used(self, request: socket.socket, by_worker: bool) -> None:
+        """A request came in on a connection."""
+        with self._lock:
+            if request in self._open:
+                self._open[request] = float("inf") if by_worker else time.monotonic()
+
     def shutdown_request(self, request: Any) -> None:
         with self._lock:
-            self._open.discard(request)
+            self._open.pop(request, None)
         super().shutdown_request(request)
 
     def handle_error(self, request: Any, client_address: Any) -> None:
--- a/tests/test_smoke.py
+++ b/tests/test_smoke.py
@@ -268,6 +268,30 @@
     assert calls == ["/fail", "/fine"]
 
 
+def test_silent_connections_make_room_and_workers_stay() -> None:
+    server = Server(("127.0.0.1", 0), lambda method, path, body: (200, {}, {}), 3)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    clients = [Client("127.0.0.1", server.server_port) for _ in range(4)]
+    silent: list[socket.socket] = []
+    try:
+        assert clients[0].request("POST", "/hello", {}, timeout=5.0)[0] == 200
+        for _ in range(20):
+            silent.append(socket.create_connection(("127.0.0.1", server.server_port)))
+        # The worker's connection was the oldest, and is there still: it is used again, not opened anew.
+        assert clients[0].request("POST", "/hello", {}, timeout=5.0)[0] == 200
+        assert clients[1].request("POST", "/hello", {}, timeout=5.0)[0] == 200
+        assert clients[2].request("POST", "/hello", {}, timeout=5.0)[0] == 200
+        # Three workers fill it: nobody is turned out for a fourth.
+        with pytest.raises((NoAnswer, NotSent)):
+            clients[3].request("GET", "/ready", timeout=5.0)
+    finally:
+        for held in silent:
+            held.close()
+        for client in clients:
+            client.close()
+        server.close_all()
+
+
 def test_handler_is_the_standard_one() -> None:
     assert issubclass(Server, http.server.HTTPServer)
     assert decode(encode({"a": 1})) == {"a": 1}
