One priced sum for plans and tests; leave out what nothing reads

Re-reading found the priced sum written out three times since prices are kept per slot, with Pricing.cost left to the tests alone; Row.free without a caller; a flag that is set and never read; a method that only passes a call on. Behaviour is the same: the brute-force tests compare with the same sum.

--- a/src/poppyhold/controller.py
+++ b/src/poppyhold/controller.py
@@ -71,7 +71,6 @@
         self._flush_at = 0.0
         # Before this moment no pass is made over what waits.
         self.settle_at = float("-inf")
-        self._loaded = False
 
     # -- the beginning of a term ---------------------------------------------------------------------
 
@@ -114,10 +113,9 @@
         for job in sorted(ctx.fleet.jobs.values(), key=lambda job: job.at):
             self.hiring.arrivals.note(job.at, job.spec)
             if not job.plan_durable:
-                self._arrive(job)
+                self.admission.arrive(job)
             if job.done == job.spec.chores:
                 self._finish(job)
-        self._loaded = True
         for machine in ctx.fleet.machines.values():
             self.attempts.probe(machine, now)
 
@@ -143,7 +141,7 @@
         job = self._add_job(entry)
         if job is not None:
             self.hiring.arrivals.note(self.ctx.clock(), job.spec)
-            self._arrive(job)
+            self.admission.arrive(job)
 
     def job_removed(self, key: str) -> None:
         """A job is over: cancelled by its user, or done by us."""
@@ -235,9 +233,6 @@
         self.ctx.dirty = True
         return job
 
-    def _arrive(self, job: Job) -> None:
-        self.admission.arrive(job)
-
     def _prune(self, job: Job) -> None:
         if job.over and not job.active:
             self.ctx.fleet.jobs.pop(job.id, None)
--- a/src/poppyhold/ledger.py
+++ b/src/poppyhold/ledger.py
@@ -57,10 +57,6 @@
         part = self.slots.get(slot)
         return self.standing if part is None else plus(self.standing, part)
 
-    def free(self, slot: int) -> Room:
-        """Room in a slot that is not booked."""
-        return plus(self.capacity, self.booked(slot), -1.0)
-
 
 class Ledger:
     """The rows of all machines that can be planned on."""
--- a/src/poppyhold/planner.py
+++ b/src/poppyhold/planner.py
@@ -8,7 +8,7 @@
 
 from poppyhold.fleet import Job, how_many, zone_limit
 from poppyhold.ledger import STANDING, Ledger, Row
-from poppyhold.pricing import Pricing, shares_of
+from poppyhold.pricing import Pricing, priced, shares_of
 
 INFINITE = float("inf")
 
@@ -105,11 +105,11 @@
                     most = how_many(need, free, most)
                     if not most:
                         break
-                    cost += need[0] * prices[0] + need[1] * prices[1] + need[2] * prices[2]
+                    cost += priced(need, prices)
             if standing and most:
                 free, prices = row.view(STANDING, self._pricing.rates)
                 most = how_many(need, free, most)
-                cost += standing * (need[0] * prices[0] + need[1] * prices[1] + need[2] * prices[2])
+                cost += standing * priced(need, prices)
             if most:
                 found.append(Offer(cost, name, row.zone, most))
         found.sort(key=lambda offer: (offer.cost, offer.machine))
--- a/src/poppyhold/pricing.py
+++ b/src/poppyhold/pricing.py
@@ -27,11 +27,6 @@
             return self.high
         return float(self.low * self._ratio ** min(1.0, max(0.0, booked / capacity)))
 
-    def cost(self, need: Room, booked: Room, capacity: Room) -> float:
-        """Priced room of one task in one slot: shares of the machine times their prices."""
-        prices = self.rates(booked, capacity)
-        return need[0] * prices[0] + need[1] * prices[1] + need[2] * prices[2]
-
     def rates(self, booked: Room, capacity: Room) -> Room:
         """Prices of a unit of each resource of a machine in a slot."""
         cpus, gpus, memory = (
@@ -48,6 +43,11 @@
         return value
 
 
+def priced(need: Room, rates: Room) -> float:
+    """Priced room of one task in one slot, at these prices of a unit of each resource."""
+    return need[0] * rates[0] + need[1] * rates[1] + need[2] * rates[2]
+
+
 def shares_of(need: Room, capacity: Room) -> float:
     """Machine shares of one task, summed over resources."""
     return sum(want / all_ for want, all_ in zip(need, capacity, strict=True) if want > 0 and all_ > 0)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -13,7 +13,7 @@
 from poppyhold.messages import Submission, parse_submission
 from poppyhold.options import Design
 from poppyhold.planner import Planner
-from poppyhold.pricing import Pricing, shares_of
+from poppyhold.pricing import Pricing, priced, shares_of
 
 SLOT_S = 60.0
 
@@ -45,7 +45,7 @@
             booked = row.booked(slot)
             if not fits(plus(booked, need, chosen.count((slot, name))), row.capacity):
                 break
-            cost += chosen.count((slot, name)) * pricing.cost(need, booked, row.capacity)
+            cost += chosen.count((slot, name)) * priced(need, pricing.rates(booked, row.capacity))
         else:
             last = max(slot for slot, _ in chosen)
             end_at = estimate_s if last == 0 else (last + 1) * SLOT_S
