Who is cut off with workers answers them in the leader's name; silent machines hold nobody up

- A leader resigns only where others hear more than twice the workers that it hears.
- deputy: controllers that lost both the leader and the state service answer workers under the leader's baton, without orders, as long as the leader itself might; the leader counts on it before it takes a lease for over.
Machines with work that must be stopped are left to the leader.
- Deletions for silence wait as long as many are silent, and nobody deletes who is not sure to lead.
- The limit of connections follows threads and sockets; workers' connections that were silent for a lease make room; a report that nobody waits for is not worked on.
Scenarios: zone_cut, zone_cut_long, cancelled_before_the_cut, each shown to fail without its guard.

--- a/src/poppyhold/attempts.py
+++ b/src/poppyhold/attempts.py
@@ -409,8 +409,10 @@
         """End the attempts of a silent worker whose lease is over, whoever might have answered it."""
         times = self._ctx.times
         if machine.heard:
-            # It has followed our baton, so only we could renew its lease: as long as nobody else led.
-            bound = machine.last_answer + times.lease_over_s
+            # It has followed our baton, so only we and who stands in for us could renew its lease: as long
+            # as nobody else led.
+            answered_at = max(machine.last_answer, self._ctx.edges.deputies_until())
+            bound = answered_at + times.lease_over_s
         else:
             # Before our term others answered it, for as long as they could at the most.
             bound = max(self.began_at + times.others_over_s, machine.last_answer + times.lease_over_s)
--- a/src/poppyhold/context.py
+++ b/src/poppyhold/context.py
@@ -65,6 +65,9 @@
     def confirmed_at(self) -> float:
         """Moment at which nobody else can have led yet."""
 
+    def deputies_until(self) -> float:
+        """Moment behind which no other controller answered a worker in our name."""
+
 
 class Times:
     """Spans of time, each a ratio to the settings."""
@@ -81,7 +84,10 @@
         # After so long its machine is given up, if that is not the way of most others too.
         self.lost_s = workers.lease_s * 0.5
         # A leader that lost its way may answer workers this long; then their leases have to end.
-        self.blind_answers_s = workers.cancel_s - self.lease_over_s - workers.report_s * 2
+        self.blind_answers_s = workers.cancel_s - self.lease_over_s - workers.report_s / 2
+        # Who hears neither the leader nor the state service for so long stands in for it. Workers come to
+        # it a good four seconds behind a cut, and only some of them have the time to come twice.
+        self.deputy_after_s = max(workers.report_s * 1.5, workers.lease_s / 4)
         # Since our term began, nobody else's answers can keep a task alive longer.
         self.others_over_s = workers.cancel_s * 1.001 + workers.report_s
         self.slot_s = workers.lease_s * options.design.slot_leases
--- a/src/poppyhold/controller.py
+++ b/src/poppyhold/controller.py
@@ -211,6 +211,19 @@
         """Done and running tasks by job, for display."""
         return {job.id: (job.done, job.running) for job in self.ctx.fleet.jobs.values() if not job.over}
 
+    def shunned(self) -> list[str] | None:
+        """Machines whose leases nobody may prolong but us; None before we know all of them.
+
+        What runs there of cancelled jobs must be gone in time, or is none of ours.
+        """
+        if self.attempts.unheard:
+            return None
+        return [
+            machine.name
+            for machine in self.ctx.fleet.machines.values()
+            if machine.strangers or any(attempt.job.over for attempt in machine.attempts.values())
+        ]
+
     def hints(self) -> Hints:
         """The machines' images, for the next leader."""
         return {
--- /dev/null
+++ b/src/poppyhold/deputy.py
@@ -0,0 +1,93 @@
+"""Answering workers in the leader's name, where a cut keeps them and this node from it.
+
+A zone that is cut off goes on working inside, but only as long as somebody there answers its workers. The
+leader tells each controller how far it is sure of its lead and of every cancellation. One that then loses
+both the leader and the state service may give workers their leases under the leader's baton, without any
+orders, for as long as the leader itself might: until a lease given now would end later than `cancel_s` behind
+that moment. The leader counts on it: it takes no lease for over that such an answer may have prolonged.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from poppyhold.context import Times
+from poppyhold.messages import Report
+
+
+class Trust(NamedTuple):
+    """What a leader tells the others."""
+
+    baton: int
+    # Time of day up to which it is sure of its lead and knows every cancellation.
+    known_wall: float
+    # Machines that hold what has to be stopped: their leases must be left to the leader.
+    shunned: Sequence[str]
+
+
+class Deputy:
+    """The side of a controller that may have to stand in."""
+
+    def __init__(
+        self, times: Times, skew_s: float, clock: Callable[[], float], wall: Callable[[], float]
+    ) -> None:
+        self._times, self._skew_s, self._clock, self._wall = times, skew_s, clock, wall
+        self._trust: Trust | None = None
+        self._heard_at = float("-inf")
+
+    def heard(self, baton: int, trust: Trust | None) -> None:
+        """The leader spoke. Who can't vouch for anything yet, as behind a change, trusts nobody."""
+        if self._trust is None or baton >= self._trust.baton:
+            self._trust, self._heard_at = trust, self._clock()
+
+    def may_answer(self, report: Report, state_at: float, known_baton: int) -> int | None:
+        """The baton to answer a worker with; None if that is not for us to do.
+
+        ``state_at`` is when the state service last answered us, ``known_baton`` that of the leader's key.
+        """
+        trust, now = self._trust, self._clock()
+        if trust is None or now - max(self._heard_at, state_at) <= self._times.deputy_after_s:
+            return None
+        # A held message may come late: its own time of day tells how old it is.
+        if self._wall() + 2 * self._skew_s > trust.known_wall + self._times.blind_answers_s:
+            return None
+        if report.baton != trust.baton or known_baton > trust.baton or report.box in trust.shunned:
+            return None
+        return trust.baton
+
+
+class Deputies:
+    """The side of the leader: until when others may have answered workers in its name."""
+
+    def __init__(self, times: Times, skew_s: float) -> None:
+        self._times = times
+        # Both ends' times of day may be off, and ours moves on between saying and sending.
+        self._longest_s = times.blind_answers_s * 1.001 + 4 * skew_s
+        self._told_at: dict[str, float] = {}
+        self._clear_at: dict[str, float] = {}
+        self._perhaps: dict[str, float] = {}
+
+    def telling(self, member: str, now: float) -> None:
+        """Another controller is about to be told what we are sure of."""
+        self._told_at[member] = now
+        self._clear_at.setdefault(member, now)
+
+    def answered(self, member: str, asked_at: float) -> None:
+        """It answered what it was told at that moment, and stood in for nobody just then."""
+        if member not in self._told_at:
+            return
+        self._perhaps[member] = self._until(member, asked_at)
+        self._clear_at[member] = max(asked_at, self._clear_at[member])
+
+    def _until(self, member: str, now: float) -> float:
+        # Without our word for a while it may have stood in: even one that says it did not, for its process
+        # may have begun anew since.
+        perhaps = self._perhaps.get(member, float("-inf"))
+        if now - self._clear_at[member] <= self._times.deputy_after_s:
+            return perhaps
+        return max(perhaps, min(now, self._told_at[member] + self._longest_s))
+
+    def until(self, now: float) -> float:
+        """No worker was answered in our name later than this, by others."""
+        return max((self._until(member, now) for member in list(self._told_at)), default=float("-inf"))
--- a/src/poppyhold/hiring.py
+++ b/src/poppyhold/hiring.py
@@ -51,6 +51,8 @@
         self.arrivals = Arrivals(2 * ctx.times.slot_s)
         self._hires: dict[str, Hire] = {}
         self._deleting = False
+        # When many machines were silent last.
+        self._hushed_at = float("-inf")
         self._next_at = ctx.clock() + ctx.times.report_s * 2
         self._needed: dict[str, float] = {}
 
@@ -195,7 +197,7 @@
         times = ctx.times
         began = self._attempts.began_at
         silent: list[Machine] = []
-        up = 0
+        up = heard = hushed = 0
         for machine in ctx.fleet.machines.values():
             if machine.deleting:
                 # The cloud may not answer for long; the end of a lease is proof too.
@@ -207,11 +209,13 @@
                     self._condemn(machine, "never came up")
                 continue
             up += 1
+            heard += now - machine.last_report <= times.lost_s
             if machine.heard or machine.name not in self._attempts.unheard:
                 quiet = now - max(machine.last_report, machine.up_at, began + times.report_s * 2)
             else:
                 # It was up, and was asked when our term began: a sound worker answers that at once.
                 quiet = now - began + times.lost_s / 2
+            hushed += quiet > times.lost_s / 2
             if quiet > times.silent_s / 2:
                 self._attempts.probe(machine, now)
             if quiet > times.lost_s:
@@ -223,12 +227,21 @@
                 self._attempts.expire(machine, now)
             if len(machine.errors) > 1 and self._at_fault(machine):
                 machine.leaving = True
-        if len(silent) * 2 >= up and len(silent) > 1 and ctx.edges.peers_hear() > 0:
-            # They try the other controllers: it is our own way to them that is broken.
+        if len(silent) * 2 >= up and len(silent) > 1 and ctx.edges.peers_hear() > 2 * heard:
+            # They try the other controllers: it is our own way to them that is broken. Where a zone is cut
+            # off, half of all are silent too, and those that came to us passed the others on their way: with
+            # each new leader resigning for that, nothing was started for the length of the cut.
             ctx.edges.resign("most workers are silent")
+        if hushed > max(1, up // 4):
+            # Those that fall silent with others count as soon as they might be missed: in a zone that is cut
+            # off the first ones were deleted, up to a quarter of all, before the rest had been silent long
+            # enough. And when it is back they don't all come at one moment.
+            self._hushed_at = now
         for machine in silent:
-            long_ago = now - max(machine.last_report, machine.up_at, began) > 2 * times.lease_s
-            if len(silent) <= max(1, up // 4) or long_ago:
+            # A zone that is cut off comes back with all its machines: its tasks start elsewhere once its
+            # leases are over, but machines are given up for good only a good while behind that.
+            long_ago = now - max(machine.last_report, machine.up_at, began) > 2 * times.cancel_s
+            if now - self._hushed_at > times.lost_s or long_ago:
                 self._condemn(machine, "silent")
         for machine in ctx.fleet.machines.values():
             if (
@@ -255,7 +268,8 @@
         return sum(1 for job in jobs if job is not None and len(job.failed_on) <= 2) > 1
 
     def _delete(self) -> None:
-        if self._deleting:
+        # Who is not sure to lead must not delete: workers that it misses may have gone to the next leader.
+        if self._deleting or not self._ctx.edges.may_start():
             return
         names = [m.name for m in self._ctx.fleet.machines.values() if m.deleting][:DELETE_LIMIT]
         if not names:
--- a/src/poppyhold/http.py
+++ b/src/poppyhold/http.py
@@ -19,7 +19,8 @@
 Answer = tuple[int, dict[str, Any], dict[str, str]]
 Route = Callable[[str, str, bytes], Answer]
 
-_IDLE_S = 65.0
+# A connection of ours that has been idle so long is not used again: the other side may close it meanwhile.
+_KEEP_S = 15.0
 # Who asks for this path is a worker: its connection is never closed for another's sake.
 _REPORTS = "/hello"
 
@@ -31,10 +32,13 @@
 
 class _Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
-    timeout = _IDLE_S
     disable_nagle_algorithm = True
     server: Server
 
+    def setup(self) -> None:
+        super().setup()
+        self.connection.settimeout(self.server.idle_s)
+
     def do_GET(self) -> None:
         self._serve()
 
@@ -88,19 +92,24 @@
 class Server(socketserver.ThreadingMixIn, http.server.HTTPServer):
     """One thread per connection, at most ``limit`` connections.
 
-    At the limit the connection that has been silent longest makes room, workers' aside: many silent or
-    half-open ones would otherwise keep the workers out, and their leases would end.
+    At the limit the connection that has been silent longest makes room, reporting workers' aside: many silent
+    or half-open ones would otherwise keep the workers out, and their leases would end. A worker's connection
+    that has been silent for ``worker_s`` is one like any other: when a zone that was cut off is back, its
+    workers come over new connections, and the old ones are never closed by them.
     """
 
     daemon_threads = True
     block_on_close = False
     allow_reuse_address = True
-    request_queue_size = 128
 
-    def __init__(self, address: tuple[str, int], route: Route, limit: int) -> None:
+    def __init__(self, address: tuple[str, int], route: Route, limit: int, worker_s: float = 15.0) -> None:
         self.route = route
-        self._limit = limit
-        # When each was used last; never to be closed: workers'.
+        self._limit, self._worker_s = limit, worker_s
+        # What is silent for longer was left by whoever opened it.
+        self.idle_s = worker_s * 4
+        # Behind a restart all workers and users come at one moment.
+        self.request_queue_size = limit
+        # Until when each is spared, at the least: a worker's for a while behind its report.
         self._open: dict[socket.socket, float] = {}
         self._lock = threading.Lock()
         super().__init__(address, _Handler)
@@ -114,7 +123,7 @@
         with self._lock:
             if len(self._open) >= self._limit:
                 oldest = min(self._open, key=lambda held: self._open[held])
-                if self._open[oldest] == float("inf"):
+                if self._open[oldest] > time.monotonic():
                     return False
                 del self._open[oldest]
                 try:
@@ -129,7 +138,7 @@
         """A request came in on a connection."""
         with self._lock:
             if request in self._open:
-                self._open[request] = float("inf") if by_worker else time.monotonic()
+                self._open[request] = time.monotonic() + (self._worker_s if by_worker else 0.0)
 
     def shutdown_request(self, request: Any) -> None:
         with self._lock:
@@ -206,7 +215,7 @@
         with self._lock:
             while self._idle:
                 connection, since = self._idle.pop()
-                if now - since < _IDLE_S / 4:
+                if now - since < _KEEP_S:
                     return connection
                 connection.close()
         return None
--- a/src/poppyhold/peers.py
+++ b/src/poppyhold/peers.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from poppyhold.context import Hints
+from poppyhold.deputy import Deputies, Trust
 from poppyhold.settings import Known, Settings, split_address
 
 log = logging.getLogger(__name__)
@@ -37,6 +38,8 @@
     counts: list[Count] = []
     # Images of machines whose images changed: a next leader starts from them.
     images: list[tuple[str, tuple[tuple[str, float], ...]]] = []
+    # What a leader is sure of, for those who may have to stand in for it.
+    trust: Trust | None = None
 
 
 class Pong(msgspec.Struct, frozen=True, array_like=True, tag="pong"):
@@ -104,8 +107,10 @@
         on_ping: Callable[[Ping], None],
         on_pong: Callable[[Pong], None],
         on_refused: Callable[[str], None],
+        deputies: Callable[[], Deputies | None],
     ) -> None:
         self._settings = settings
+        self._deputies = deputies
         self._describe, self._counts, self._known_ledger = describe, counts, known_ledger
         self._hints = hints
         self._on_ping, self._on_pong, self._on_refused = on_ping, on_pong, on_refused
@@ -195,11 +200,16 @@
             images = [(box, held) for box, held in hints.items() if told.get(box) != held]
             told = hints
             asked = time.monotonic()
+            deputies = self._deputies()
+            if deputies is not None:
+                deputies.telling(known.member, asked)
             send(connection, msgspec.structs.replace(self._describe(), counts=changed, images=images))
             message = receive(connection)
             if not isinstance(message, Pong):
                 raise ValueError("not a pong")
             self._note(known.member, message, asked)
+            if deputies is not None:
+                deputies.answered(known.member, asked)
             self._on_pong(message)
             self._stop.wait(self._every_s)
 
--- a/src/poppyhold/service.py
+++ b/src/poppyhold/service.py
@@ -16,6 +16,7 @@
 from poppyhold.cloud import CloudClient, CloudThread
 from poppyhold.context import Data, Hints, Times
 from poppyhold.controller import Controller, Snapshot
+from poppyhold.deputy import Deputies, Deputy, Trust
 from poppyhold.election import Election, Leader, Term
 from poppyhold.http import Answer, Server, answer
 from poppyhold.messages import Build, Builds, Malformed, Report, convert, decode, parse_report
@@ -48,6 +49,9 @@
 
 Work = Callable[[], None]
 
+# A worker waits so long for the answer to a report.
+_WORKER_PATIENCE_S = 4.0
+
 # What the decision thread does first: the ranks that the operators ask for.
 REPORTS, DECISIONS, SUBMISSIONS = 0, 1, 2
 
@@ -96,6 +100,10 @@
         self._watch: Watch | None = None
         self._counts: dict[str, tuple[int, int]] = {}
         self._hints: Hints = {}
+        self.deputies = Deputies(Times(node.settings, node.options), node.skew_s)
+        # Every cancellation told before this moment has been acted on.
+        self._applied_at = float("-inf")
+        self.trust: Trust | None = None
         self.controller = Controller(
             node.settings, node.options, self, term.baton, time.monotonic, time.time, node.rng
         )
@@ -123,6 +131,7 @@
             self._node.settings.settings.workers.lease_s / 5,
             self._on_resync,
             self._on_job,
+            on_synced=self._on_synced,
         ).start()
         log.info("rebuilt: %d jobs, %d machines", len(entries), len(snapshot.machines))
         self._ready.set()
@@ -140,6 +149,7 @@
                     self.controller.tick()
                     self._counts = self.controller.counts()
                     self._hints = self.controller.hints()
+                    self._vouch()
                     tick_at = time.monotonic() + self._tick_s
                 if not len(self._queue):
                     self.controller.settle()
@@ -179,6 +189,23 @@
             # A cancellation is not a submission: it is acted on with the decisions.
             self._post(DECISIONS, lambda: self.controller.job_removed(change))
 
+    def _on_synced(self, asked: float) -> None:
+        # In line behind the changes that it stands for.
+        def applied() -> None:
+            self._applied_at = asked
+
+        self._post(DECISIONS, applied)
+
+    def _vouch(self) -> None:
+        """Note what the other controllers may count on, should they lose us."""
+        sure_at = min(self._applied_at, self.confirmed_at())
+        shunned = self.controller.shunned()
+        if shunned is None or sure_at == float("-inf"):
+            self.trust = None
+            return
+        known_wall = time.time() - (time.monotonic() - sure_at)
+        self.trust = Trust(self.controller.ctx.baton, known_wall, shunned)
+
     def _on_builds(self, builds: list[Build]) -> None:
         self._node.learn_builds(builds, publish=True)
         self._post(DECISIONS, lambda: self.controller.builds(builds))
@@ -211,10 +238,12 @@
         result: list[Data | None] = [None]
         turn = threading.Lock()
         turn.acquire()
+        # Nobody waits for the answer behind this: work on it would only hold up the reports that come after.
+        late_at = time.monotonic() + timeout
 
         def work() -> None:
             try:
-                if self.alive and self.may_answer():
+                if self.alive and time.monotonic() < late_at and self.may_answer():
                     result[0] = self.controller.hello(report)
             finally:
                 turn.release()
@@ -320,12 +349,17 @@
         """See `Edges`."""
         return self._node.election.confirmed_at if self.alive else float("-inf")
 
+    def deputies_until(self) -> float:
+        """See `Edges`."""
+        return self.deputies.until(time.monotonic())
+
 
 class Node:
     """A controller: routes requests, and leads when elected."""
 
     def __init__(self, settings: Settings, options: Options) -> None:
         self.settings, self.options = settings, options
+        self.skew_s = settings.settings.skew_ms / 1000
         self.rng = random.Random()
         self.store = Store(settings)
         self.cloud = CloudClient(settings)
@@ -351,20 +385,29 @@
             self._on_ping,
             self._on_pong,
             self._refused,
+            self._deputies,
         )
         workers = settings.settings.workers
+        times = Times(settings, options)
+        self.deputy = Deputy(times, self.skew_s, time.monotonic, time.time)
         self.authority = Authority(
-            Times(settings, options).blind_answers_s,
+            times.blind_answers_s,
             [known.member for known in settings.known],
             lambda: self.peers.views,
         )
-        self._hello_timeout = workers.report_s * 2.5
+        # Behind this a worker has given up the answer, as PROTOCOL says: it comes at once or not at all.
+        self._hello_timeout = min(workers.report_s * 2.5, _WORKER_PATIENCE_S * 0.75)
         # A worker that is not told where to go tries another node a second later. Where all nodes have just
         # come back, that second decides whether leases end; an election takes far less.
         self._naming_s = workers.report_s / 2
         self._ready_s = workers.lease_s * 0.35
-        limit = int(settings.settings.machine_limits.max_sockets * 0.75)
-        self.server = Server(split_address(settings.client_listen), self.route, limit)
+        self.server = Server(
+            split_address(settings.client_listen),
+            self.route,
+            settings.settings.machine_limits.connections,
+            # A worker that has been silent for a lease reports somewhere else, or over a new connection.
+            workers.lease_s,
+        )
 
     def run(self) -> None:
         """Serve until stopped."""
@@ -440,6 +483,10 @@
         reign = self._reign
         return reign.hints() if reign is not None else {}
 
+    def _deputies(self) -> Deputies | None:
+        reign = self._reign
+        return reign.deputies if reign is not None else None
+
     def _count(self, job_id: str) -> tuple[int, int]:
         reign = self._reign
         counts = reign.counts() if reign is not None else self._peer_counts
@@ -453,11 +500,15 @@
         # What a process of ours before this one told is not above the first revision that we saw.
         told = max(self.users.told, self.election.watch.first_ledger)
         workers = self._workers_passed_on()
-        return Ping(self.settings.member, term.baton if term else 0, term is not None, age, told, workers)
+        reign = self._reign
+        trust = reign.trust if reign is not None and reign.alive else None
+        baton = term.baton if term else 0
+        return Ping(self.settings.member, baton, term is not None, age, told, workers, trust=trust)
 
     def _on_ping(self, ping: Ping) -> None:
         if ping.leading:
             self.election.saw_baton(ping.baton)
+            self.deputy.heard(ping.baton, ping.trust)
             counts = dict(self._peer_counts)
             counts.update({job: (done, running) for job, done, running in ping.counts})
             while len(counts) > self.settings.settings.machine_limits.ram_mb * 100:
@@ -551,6 +602,10 @@
         if reply is not None:
             return reply
         if report.baton:
+            known = self.election.leader
+            deputed = self.deputy.may_answer(report, self.store.contact_at, known.baton if known else 0)
+            if deputed is not None:
+                return answer(200, {"baton": deputed, "orders": []})
             # A new machine's worker begins with any node; one that has a baton has left its leader.
             self._pass_on(report.box)
         leader = self.election.await_leader(self._naming_s)
--- a/src/poppyhold/settings.py
+++ b/src/poppyhold/settings.py
@@ -71,6 +71,10 @@
     list_lag_s: float = 8.0
 
 
+# More threads than this no process may have, whatever its sockets.
+_MOST_THREADS = 2000
+
+
 class MachineLimits(msgspec.Struct, frozen=True):
     """What this process may use."""
 
@@ -78,6 +82,16 @@
     ram_mb: float = 256.0
     max_sockets: int = 1000
 
+    @property
+    def threads(self) -> int:
+        """What threads that hold a connection each are counted in: at most one for each socket."""
+        return min(self.max_sockets, _MOST_THREADS)
+
+    @property
+    def connections(self) -> int:
+        """Connections from users and workers: beside them are commands to workers, peers and the rest."""
+        return int(self.threads * 0.68)
+
 
 class Deployment(msgspec.Struct, frozen=True):
     """The figures of a deployment."""
--- a/src/poppyhold/store.py
+++ b/src/poppyhold/store.py
@@ -174,9 +174,11 @@
         on_snapshot: Callable[[list[Entry]], None],
         on_change: Callable[[Entry | str, int], None],
         clock: Callable[[], float] = time.monotonic,
+        on_synced: Callable[[float], None] | None = None,
     ) -> None:
         self._store, self._prefix, self._hold_s = store, prefix, hold_s
         self._on_snapshot, self._on_change, self._clock = on_snapshot, on_change, clock
+        self._on_synced = on_synced
         self._stop = threading.Event()
         # Everything that was changed before this moment is known here.
         self.synced_at = float("-inf")
@@ -217,6 +219,8 @@
                 if self.first_ledger < 0:
                     self.first_ledger = ledger
                 self.synced_at = asked
+                if self._on_synced is not None:
+                    self._on_synced(asked)
             except Gone:
                 ledger = -1
             except (Refused, Unsure):
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -11,6 +11,8 @@
 from poppyhold.admission import Pass
 from poppyhold.attempts import Attempts
 from poppyhold.authority import Authority
+from poppyhold.controller import Controller
+from poppyhold.deputy import Deputies, Deputy
 from poppyhold.hiring import Hiring
 from poppyhold.placement import Quotas
 from poppyhold.settings import Team
@@ -125,6 +127,12 @@
             world.cloud.down = True
             world.after(float(seconds), lambda: setattr(world.cloud, "down", False))
 
+    def do_cut(self, zone: str, word: str, seconds: str) -> None:
+        """The zone is cut off from everything outside it."""
+        world = self.world
+        world.cut = zone
+        world.after(float(seconds), lambda: setattr(world, "cut", None))
+
     def do_trouble(self, kind: str, machine: str, word: str, seconds: str) -> None:
         """A kind of trouble with a machine, or with all; the kinds are in scenarios/README.md."""
         names = list(self.world.workers) if machine == "all" else [machine]
@@ -210,6 +218,18 @@
     return True
 
 
+def _never(*_: object) -> None:
+    return None
+
+
+def _long_ago(*_: object) -> float:
+    return float("-inf")
+
+
+def _nobody(*_: object) -> list[str]:
+    return []
+
+
 def _count_nothing(self: Hiring, name: str, data: object) -> None:
     """Hires of earlier leaders are forgotten."""
 
@@ -228,6 +248,9 @@
     ("lost_hire_answer", Hiring, "load_hire", _count_nothing),
     ("done_before_reap", Attempts, "_may_reap", _always),
     ("large_fleet", Pass, "claim", _unlike),
+    ("zone_cut", Deputy, "may_answer", _never),
+    ("zone_cut_long", Deputies, "until", _long_ago),
+    ("cancelled_before_the_cut", Controller, "shunned", _nobody),
 ]
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -16,6 +16,7 @@
 from poppyhold.authority import Authority
 from poppyhold.context import OK, REFUSED, UNSENT, UNSURE, Times
 from poppyhold.controller import Controller, Snapshot
+from poppyhold.deputy import Deputies, Deputy, Trust
 from poppyhold.http import Answer
 from poppyhold.messages import Build, Listed, Report, convert, encode, parse_report
 from poppyhold.options import Options
@@ -75,7 +76,7 @@
 
     def _state(self) -> StateStandIn:
         world = self._node.world
-        if world.state.down or self._node.refused or not self._node.alive:
+        if world.state.down or self._node.refused or not self._node.alive or world.cut == self._node.zone:
             raise Refused("503")
         self.contact_at = world.now
         return world.state
@@ -109,6 +110,7 @@
         self.baton, self.stamp, self.permit = baton, stamp, permit
         self.alive = True
         self.confirmed = self.world.now
+        self.deputies = Deputies(node.times, 0.0)
         self.synced = self.world.now
         self.ledger = -1
         world = self.world
@@ -202,6 +204,8 @@
             self._later(1.5, lambda: done(UNSENT, None))
             return
         how = world.troubles.get(worker.name, set())
+        if world.severed(self.node.zone, worker.zone):
+            how = how | {"hold"}
         if "late" in how:
 
             def deliver_late() -> None:
@@ -230,6 +234,9 @@
 
     def hire(self, body: Data, done: Callable[[str, list[str]], None]) -> None:
         def send() -> None:
+            if self.world.cut == self.node.zone:
+                done(UNSURE, [])
+                return
             status, answer = self.world.cloud.hire(body)
             if self.world.lose_hires > 0 and status == 200:
                 self.world.lose_hires -= 1
@@ -243,6 +250,9 @@
 
     def delete(self, names: list[str], done: Callable[[bool], None]) -> None:
         def send() -> None:
+            if self.world.cut == self.node.zone:
+                done(False)
+                return
             status, _ = self.world.cloud.delete(names)
             if status == 200:
                 for name in names:
@@ -268,7 +278,14 @@
 
     def peers_hear(self) -> int:
         since = self.world.now - self.world.settings.settings.workers.lease_s / 2
-        others = [n for n in self.world.nodes if n is not self.node and n.alive and not n.cut_peers]
+        others = [
+            node
+            for node in self.world.nodes
+            if node is not self.node
+            and node.alive
+            and not node.cut_peers
+            and not self.world.severed(node.zone, self.node.zone)
+        ]
         if self.node.cut_peers:
             return 0
         return max((sum(1 for at in n.passed_on.values() if at > since) for n in others), default=0)
@@ -280,12 +297,22 @@
     def confirmed_at(self) -> float:
         return self.confirmed if self.alive else float("-inf")
 
+    def deputies_until(self) -> float:
+        return self.deputies.until(self.world.now)
+
+    def trust(self) -> Trust | None:
+        """What the other nodes may count on."""
+        shunned = self.controller.shunned()
+        return None if shunned is None else Trust(self.baton, min(self.confirmed, self.synced), shunned)
+
 
 class SimNode:
     """A controller node: its election is that of `election`, told in a few lines."""
 
     def __init__(self, world: World, member: str) -> None:
         self.world, self.member = world, member
+        self.zone = ZONES[world.members.index(member) % len(ZONES)]
+        self.times = Times(world.settings, Options())
         self.alive = True
         self.refused = False
         self.cut_workers = False
@@ -304,8 +331,9 @@
         self.told_floor = -1
         self.views: dict[str, PeerView] = {}
         self.passed_on: dict[str, float] = {}
+        self.deputy = Deputy(self.times, 0.0, lambda: self.world.now, lambda: self.world.now)
         self.authority = Authority(
-            Times(self.world.settings, Options()).blind_answers_s,
+            self.times.blind_answers_s,
             [m for m in self.world.members if m != self.member],
             lambda: self.views,
         )
@@ -331,6 +359,9 @@
         """POST /hello."""
         reign = self.reign
         if reign is None:
+            deputed = self.deputy.may_answer(parse_report(body), self.store.contact_at, 0)
+            if deputed is not None:
+                return 200, {"baton": deputed, "orders": []}
             self.passed_on[body["box"]] = self.world.now
             leader = self.world.leader()
             return 421, {"foreman": leader.member} if leader is not None else {}
@@ -397,6 +428,12 @@
         for other in world.nodes:
             if other is self or not other.alive or self.cut_peers or other.cut_peers:
                 continue
+            if world.severed(self.zone, other.zone):
+                continue
+            if self.reign is not None:
+                self.reign.deputies.telling(other.member, world.now)
+                other.deputy.heard(self.reign.baton, self.reign.trust())
+                self.reign.deputies.answered(other.member, world.now)
             if other.reign is not None and self.reign is not None and other.reign.baton > self.reign.baton:
                 self.step_down()
             told = max(other.users.told, other.told_floor)
@@ -445,6 +482,8 @@
         self.workers: dict[str, SimWorker] = {}
         self.troubles: dict[str, set[str]] = {}
         self.lose_hires = 0
+        # A zone that is cut off from everything.
+        self.cut: str | None = None
         self.jobs: dict[str, Data] = {}
         self.cancelled_at: dict[str, float] = {}
         self.told: dict[str, str] = {}
@@ -457,6 +496,10 @@
         self._copies: list[tuple[float, Data]] = []
         self.copying = False
 
+    def severed(self, one: str, other: str) -> bool:
+        """Whether a cut lies between two zones."""
+        return one != other and self.cut in (one, other)
+
     # -- time --------------------------------------------------------------------------------------
 
     def after(self, delay: float, work: Callable[[], None]) -> None:
@@ -536,7 +579,7 @@
             worker.expire()
             return
         changed = worker.step()
-        if worker.held_commands and "hold" not in how:
+        if worker.held_commands and "hold" not in how and self.cut is None:
             # What was held back comes in order once the way is free, whoever still waits for it.
             held, worker.held_commands = worker.held_commands, []
             for body in held:
@@ -558,6 +601,12 @@
             worker.busy_until = self.now + 1.0
             return
 
+        if self.severed(node.zone, worker.zone):
+            # No answer for four seconds, and a second to the next.
+            worker.node = (worker.node + 1) % 3
+            worker.busy_until = self.now + 5.0
+            return
+
         def arrive() -> None:
             if not node.alive:
                 return
@@ -616,7 +665,7 @@
             self.cancelled_at.setdefault(job_id, self.now)
 
     def _any_node(self, ask: Callable[[SimNode], Answer]) -> Answer | None:
-        alive = [node for node in self.nodes if node.alive]
+        alive = [node for node in self.nodes if node.alive and node.zone != self.cut]
         return ask(self.rng.choice(alive)) if alive else None
 
     def _poll(self) -> None:
