--- a/src/poppyhold/attempts.py
+++ b/src/poppyhold/attempts.py
@@ -418,6 +418,8 @@
             bound = max(self.began_at + times.others_over_s, machine.last_answer + times.lease_over_s)
         if now <= bound or self._ctx.edges.confirmed_at() <= bound:
             return
+        if machine.attempts:
+            log.info("%s: its last lease is over, %d tasks", machine.name, len(machine.attempts))
         for attempt in list(machine.attempts.values()):
             self._over(attempt)
         self.unheard.discard(machine.name)
--- a/src/poppyhold/deputy.py
+++ b/src/poppyhold/deputy.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
@@ -16,6 +17,9 @@
 from poppyhold.messages import Report
 
 
+log = logging.getLogger(__name__)
+
+
 class Trust(NamedTuple):
     """What a leader tells the others."""
 
@@ -35,11 +39,13 @@
         self._times, self._skew_s, self._clock, self._wall = times, skew_s, clock, wall
         self._trust: Trust | None = None
         self._heard_at = float("-inf")
+        self._standing_in = False
 
     def heard(self, baton: int, trust: Trust | None) -> None:
         """The leader spoke. Who can't vouch for anything yet, as behind a change, trusts nobody."""
         if self._trust is None or baton >= self._trust.baton:
             self._trust, self._heard_at = trust, self._clock()
+            self._standing_in = False
 
     def may_answer(self, report: Report, state_at: float, known_baton: int) -> int | None:
         """The baton to answer a worker with; None if that is not for us to do.
@@ -54,6 +60,9 @@
             return None
         if report.baton != trust.baton or known_baton > trust.baton or report.box in trust.shunned:
             return None
+        if not self._standing_in:
+            self._standing_in = True
+            log.info("standing in for the leader with baton %d", trust.baton)
         return trust.baton
 
 
