--- a/src/poppyhold/cli.py
+++ b/src/poppyhold/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import gc
 import logging
 import os
 import sys
@@ -14,6 +15,8 @@
 
 # A thread per connection: a small stack each.
 _STACK = 256 * 1024
+# New objects between two looks for garbage.
+_GARBAGE = 20_000
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -50,6 +53,10 @@
     threading.stack_size(_STACK)
     from poppyhold.service import Node
 
+    # What a controller holds lives long: looking through all of it for garbage every few hundred objects
+    # takes time from reports.
+    gc.freeze()
+    gc.set_threshold(_GARBAGE, 20, 50)
     node = Node(settings, options)
     try:
         node.run()
--- a/src/poppyhold/deputy.py
+++ b/src/poppyhold/deputy.py
@@ -16,7 +16,6 @@
 from poppyhold.context import Times
 from poppyhold.messages import Report
 
-
 log = logging.getLogger(__name__)
 
 
--- a/src/poppyhold/http.py
+++ b/src/poppyhold/http.py
@@ -5,6 +5,7 @@
 import http.client
 import http.server
 import logging
+import os
 import socket
 import socketserver
 import threading
@@ -17,10 +18,14 @@
 log = logging.getLogger(__name__)
 
 Answer = tuple[int, dict[str, Any], dict[str, str]]
-Route = Callable[[str, str, bytes], Answer]
+# An answer that another thread will give: it is handed the means to send it, and never has to wait for that.
+Deferred = Callable[[Callable[[Answer], None]], None]
+Route = Callable[[str, str, bytes], Answer | Deferred]
 
 # A connection of ours that has been idle so long is not used again: the other side may close it meanwhile.
 _KEEP_S = 15.0
+# Bounds of what a request's head may hold.
+_MOST_FIELDS, _LONGEST_FIELD = 100, 8192
 # Who asks for this path is a worker: its connection is never closed for another's sake.
 _REPORTS = "/hello"
 
@@ -34,6 +39,7 @@
     protocol_version = "HTTP/1.1"
     disable_nagle_algorithm = True
     server: Server
+    raw_requestline: bytes
 
     def setup(self) -> None:
         super().setup()
@@ -47,12 +53,40 @@
 
     do_PUT = do_DELETE = do_PATCH = do_HEAD = do_OPTIONS = do_GET
 
+    def parse_request(self) -> bool:
+        """Read the request line and the header fields, of which only three matter here.
+
+        The library's own way makes a mail message of them, which takes a third of all the time that a report
+        does; what it answers to a request that is none stays the same.
+        """
+        self.requestline = str(self.raw_requestline, "iso-8859-1").rstrip("\r\n")
+        self.close_connection = True
+        words = self.requestline.split()
+        if len(words) != 3 or words[2] not in ("HTTP/1.1", "HTTP/1.0"):
+            self.command, self.request_version = "", "HTTP/1.0"
+            self.send_error(400, "Bad request syntax")
+            return False
+        self.command, self.path, self.request_version = words
+        self.fields: dict[str, str] = {}
+        for _ in range(_MOST_FIELDS):
+            line = self.rfile.readline(_LONGEST_FIELD + 1)
+            if line in (b"\r\n", b"\n", b""):
+                kept = self.fields.get("connection", "").lower()
+                self.close_connection = kept == "close" or (words[2] == "HTTP/1.0" and kept != "keep-alive")
+                return True
+            name, _, value = line.partition(b":")
+            if len(line) > _LONGEST_FIELD:
+                break
+            self.fields[str(name, "iso-8859-1").strip().lower()] = str(value, "iso-8859-1").strip()
+        self.send_error(431, "Too many header fields")
+        return False
+
     def _serve(self) -> None:
         try:
-            length = int(self.headers.get("Content-Length") or 0)
+            length = int(self.fields.get("content-length") or 0)
         except ValueError:
             length = -1
-        if length < 0 or length > BODY_LIMIT or self.headers.get("Transfer-Encoding"):
+        if length < 0 or length > BODY_LIMIT or self.fields.get("transfer-encoding"):
             self.close_connection = True
             self._send(answer(413 if length > BODY_LIMIT else 400, {"error": "body"}))
             return
@@ -67,9 +101,36 @@
             # Nothing that a peer sends may end the process or go unanswered.
             log.exception("%s %s", self.command, self.path)
             result = answer(503, {"error": "internal"}, Retry_After="1")
-        self._send(result)
+        if not callable(result):
+            self._send(result)
+        elif not self.close_connection:
+            # Reports come by the hundred a second: to wait here for the decision thread, be woken by it and
+            # only then answer took a good part of a leader's time at 650 machines.
+            result(self._send_at_once)
+        else:
+            sent = threading.Event()
+
+            def send(late: Answer) -> None:
+                self._send_at_once(late)
+                sent.set()
+
+            result(send)
+            sent.wait(self.server.idle_s)
+
+    def _send_at_once(self, result: Answer) -> None:
+        """Send without ever waiting: whoever does not take its answers loses the connection."""
+        data = self._encoded(result)
+        try:
+            if os.write(self.connection.fileno(), data) == len(data):
+                return
+            self.connection.shutdown(socket.SHUT_RDWR)
+        except OSError as error:
+            log.debug("%s: %s", self.client_address, error)
 
     def _send(self, result: Answer) -> None:
+        self.wfile.write(self._encoded(result))
+
+    def _encoded(self, result: Answer) -> bytes:
         status, body, headers = result
         payload = encode(body)
         lines = [
@@ -80,7 +141,7 @@
         ]
         if self.close_connection:
             lines.append("Connection: close")
-        self.wfile.write("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + payload)
+        return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + payload
 
     def log_message(self, format: str, *args: Any) -> None:
         log.debug("%s %s", self.address_string(), format % args)
--- a/src/poppyhold/service.py
+++ b/src/poppyhold/service.py
@@ -18,7 +18,7 @@
 from poppyhold.controller import Controller, Snapshot
 from poppyhold.deputy import Deputies, Deputy, Trust
 from poppyhold.election import Election, Leader, Term
-from poppyhold.http import Answer, Server, answer
+from poppyhold.http import Answer, Deferred, Server, answer
 from poppyhold.messages import Build, Builds, Malformed, Report, convert, decode, parse_report
 from poppyhold.options import Options
 from poppyhold.peers import Peers, Ping, Pong
@@ -57,31 +57,62 @@
 
 
 class RankedQueue:
-    """Work for the decision thread, bounded, lowest rank first, and in order within a rank."""
+    """Work for the decision thread, bounded, lowest rank first, and in order within a rank.
 
-    def __init__(self, most: int) -> None:
-        self._most = most
+    Behind some work the thread naps for a moment instead of being woken for the next: where hundreds of
+    events come each second, waking it for every one costs more than what it then does.
+    """
+
+    def __init__(self, most: int, nap_s: float) -> None:
+        self._most, self._nap_s = most, nap_s
         self._queues: tuple[deque[Work], ...] = (deque(), deque(), deque())
         self._wake = threading.Condition(threading.Lock())
+        self._waiting = self._closed = False
+        self._napped = True
 
     def put(self, rank: int, work: Work) -> bool:
-        """Queue work; False if too much of a rank that may be turned away is waiting."""
+        """Queue work; False if it is closed, or too much of a rank that may be turned away is waiting."""
         with self._wake:
-            if rank == REPORTS and len(self._queues[rank]) >= self._most:
+            if self._closed or (rank == REPORTS and len(self._queues[rank]) >= self._most):
                 return False
             self._queues[rank].append(work)
-            self._wake.notify()
+            if self._waiting:
+                self._wake.notify()
         return True
 
     def get(self, timeout: float) -> Work | None:
         """The next work, or None when the time is up."""
+        work = self._next()
+        if work is None and not self._napped:
+            self._napped = True
+            nap_s = min(self._nap_s, timeout)
+            time.sleep(nap_s)
+            timeout -= nap_s
+            work = self._next()
+        if work is None and timeout > 0:
+            with self._wake:
+                if not any(self._queues):
+                    self._waiting = True
+                    self._wake.wait(timeout)
+                    self._waiting = False
+            work = self._next()
+        if work is not None:
+            self._napped = False
+        return work
+
+    def _next(self) -> Work | None:
+        with self._wake:
+            return next((waiting.popleft() for waiting in self._queues if waiting), None)
+
+    def close(self) -> list[Work]:
+        """Take nothing more, and drop what is left but reports, which somebody waits for."""
         with self._wake:
-            if not any(self._queues):
-                self._wake.wait(timeout)
+            self._closed = True
+            reports = list(self._queues[REPORTS])
             for waiting in self._queues:
-                if waiting:
-                    return waiting.popleft()
-        return None
+                waiting.clear()
+            self._wake.notify()
+        return reports
 
     def __len__(self) -> int:
         return sum(map(len, self._queues))
@@ -93,7 +124,8 @@
     def __init__(self, node: Node, term: Term) -> None:
         self._node, self._term = node, term
         self.alive = True
-        self._queue = RankedQueue(node.settings.settings.machine_limits.max_sockets)
+        limits, workers = node.settings.settings.machine_limits, node.settings.settings.workers
+        self._queue = RankedQueue(limits.max_sockets, workers.report_s / 200)
         self._committer = Committer(node.store, node.settings, term.stamp, self._lost)
         self._senders = Senders(node.settings)
         self._cloud: CloudThread | None = None
@@ -225,32 +257,34 @@
             self._cloud.stop()
         if self._watch is not None:
             self._watch.stop()
-        self._queue.put(DECISIONS, lambda: None)
+        # Reports that still wait are turned away.
+        for work in self._queue.close():
+            work()
 
     # -- reports -------------------------------------------------------------------------------------
 
-    def hello(self, report: Report, timeout: float) -> Data | None:
-        """Have a report answered by the decision thread."""
+    def hello(self, report: Report, timeout: float) -> Deferred | None:
+        """Have a report answered by the decision thread; None if that can't be."""
         # A worker that is turned away comes back a second later, when its lease may be over: while the
         # fleet's state is read it had better wait.
         if not self._ready.wait(timeout):
             return None
-        result: list[Data | None] = [None]
-        turn = threading.Lock()
-        turn.acquire()
         # Nobody waits for the answer behind this: work on it would only hold up the reports that come after.
         late_at = time.monotonic() + timeout
 
-        def work() -> None:
-            try:
-                if self.alive and time.monotonic() < late_at and self.may_answer():
-                    result[0] = self.controller.hello(report)
-            finally:
-                turn.release()
+        def defer(send: Callable[[Answer], None]) -> None:
+            def work() -> None:
+                reply: Data | None = None
+                try:
+                    if self.alive and time.monotonic() < late_at and self.may_answer():
+                        reply = self.controller.hello(report)
+                finally:
+                    send(answer(200, reply) if reply is not None else self._node.turned_away())
 
-        if not self._post(REPORTS, work) or not turn.acquire(timeout=timeout):
-            return None
-        return result[0]
+            if not self._post(REPORTS, work):
+                send(self._node.turned_away())
+
+        return defer
 
     def may_answer(self) -> bool:
         """Whether workers may be given another lease."""
@@ -467,9 +501,9 @@
 
     def _deposed(self) -> None:
         with self._reign_lock:
-            if self._reign is not None:
-                self._reign.stop()
-                self._reign = None
+            reign, self._reign = self._reign, None
+            if reign is not None:
+                reign.stop()
 
     def _known_ledger(self) -> int:
         reign = self._reign
@@ -551,7 +585,7 @@
 
     # -- requests ------------------------------------------------------------------------------------
 
-    def route(self, method: str, path: str, body: bytes) -> Answer:
+    def route(self, method: str, path: str, body: bytes) -> Answer | Deferred:
         """Answer a request of a user, a worker or the load balancer."""
         path = path.partition("?")[0]
         if path == "/hello":
@@ -593,7 +627,7 @@
             return answer(503, {"error": "not ready"}, Retry_After="1")
         return answer(200, {"member": self.settings.member})
 
-    def _hello(self, body: bytes) -> Answer:
+    def _hello(self, body: bytes) -> Answer | Deferred:
         try:
             report = parse_report(decode(body))
         except Malformed as error:
@@ -609,20 +643,23 @@
             # A new machine's worker begins with any node; one that has a baton has left its leader.
             self._pass_on(report.box)
         leader = self.election.await_leader(self._naming_s)
-        reply = self._answer_report(report)
-        if reply is not None:
-            # The election has named us meanwhile.
-            return reply
-        if leader is None or leader.member == self.settings.member:
-            return answer(421)
-        return answer(421, {"foreman": leader.member})
+        # The election may have named us meanwhile.
+        return self._answer_report(report) or self._elsewhere(leader)
 
-    def _answer_report(self, report: Report) -> Answer | None:
+    def _answer_report(self, report: Report) -> Answer | Deferred | None:
         """The leader's answer; None if we don't lead."""
         reign = self._reign
         if reign is None:
             return None
-        reply = reign.hello(report, self._hello_timeout)
-        if reply is not None:
-            return answer(200, reply)
-        return answer(503, {"error": "not entitled now"}) if self._reign is reign else None
+        return reign.hello(report, self._hello_timeout) or self.turned_away()
+
+    def turned_away(self) -> Answer:
+        """The answer to a report that we can't take as the leader."""
+        if self._reign is not None:
+            return answer(503, {"error": "not entitled now"})
+        return self._elsewhere(self.election.leader)
+
+    def _elsewhere(self, leader: Leader | None) -> Answer:
+        if leader is None or leader.member == self.settings.member:
+            return answer(421)
+        return answer(421, {"foreman": leader.member})
