--- a/src/poppyhold/deputy.py
+++ b/src/poppyhold/deputy.py
@@ -53,7 +53,9 @@
         """
         trust, now = self._trust, self._clock()
         if trust is None or now - max(self._heard_at, state_at) <= self._times.deputy_after_s:
-            log.debug("%s: heard %.1f s ago, state %.1f s ago", report.box, now - self._heard_at, now - state_at)
+            log.debug(
+                "%s: heard %.1f s ago, state %.1f s ago", report.box, now - self._heard_at, now - state_at
+            )
             return None
         # A held message may come late: its own time of day tells how old it is.
         if self._wall() + 2 * self._skew_s > trust.known_wall + self._times.blind_answers_s:
