--- a/src/poppyhold/attempts.py
+++ b/src/poppyhold/attempts.py
@@ -419,7 +419,7 @@
         if now <= bound or self._ctx.edges.confirmed_at() <= bound:
             return
         if machine.attempts:
-            log.info("%s: its last lease is over, %d tasks", machine.name, len(machine.attempts))
+            log.debug("%s: its last lease is over, %d tasks", machine.name, len(machine.attempts))
         for attempt in list(machine.attempts.values()):
             self._over(attempt)
         self.unheard.discard(machine.name)
--- a/src/poppyhold/context.py
+++ b/src/poppyhold/context.py
@@ -83,9 +83,9 @@
         self.silent_s = workers.report_s * options.leadership.silent_reports
         # After so long its machine is given up, if that is not the way of most others too.
         self.lost_s = workers.lease_s * 0.5
-        # A leader that lost its way may answer workers this long; then their leases have to end. They run from
-        # when a report was sent, so that its way here is on the safe side; every second counts when a cut ends
-        # just before the leases that were given last.
+        # A leader that lost its way may answer workers this long; then their leases have to end. They run
+        # from when a report was sent, so that its way here is on the safe side; every second counts when a
+        # cut ends just before the leases that were given last.
         self.blind_answers_s = workers.cancel_s - workers.lease_s * 1.002 - workers.report_s * 0.15
         # Who hears neither the leader nor the state service for so long stands in for it. Workers come to
         # it a good four seconds behind a cut, and only some of them have the time to come twice.
--- a/src/poppyhold/hiring.py
+++ b/src/poppyhold/hiring.py
@@ -20,6 +20,8 @@
 log = logging.getLogger(__name__)
 
 DELETE_LIMIT = 100
+# Names in a line of the log.
+_NAMED = 8
 # A boot takes up to so many times the usual, as PROTOCOL says; what takes longer may take several times as
 # long, and is not waited for.
 _LATE_BOOTS = 1.5
@@ -51,6 +53,8 @@
         self.arrivals = Arrivals(2 * ctx.times.slot_s)
         self._hires: dict[str, Hire] = {}
         self._deleting = False
+        # Machines to be deleted that were not told of yet, by reason: hundreds go at one moment at times.
+        self._condemned: dict[str, list[str]] = {}
         # When many machines were silent last.
         self._hushed_at = float("-inf")
         self._next_at = ctx.clock() + ctx.times.report_s * 2
@@ -250,14 +254,16 @@
                 and machine.name not in self._attempts.unheard
             ):
                 self._condemn(machine, "left")
+        for why, names in self._condemned.items():
+            log.info("delete %d machines: %s: %s", len(names), why, ", ".join(names[:_NAMED]))
+        self._condemned.clear()
         self._delete()
 
-    @staticmethod
-    def _condemn(machine: Machine, why: str) -> None:
+    def _condemn(self, machine: Machine, why: str) -> None:
         """Delete a machine: from now on nothing starts on it, whether or not an answer comes soon."""
         if not machine.deleting:
             machine.deleting = True
-            log.info("delete %s (%s, %s): %s", machine.name, machine.build.name, machine.zone, why)
+            self._condemned.setdefault(why, []).append(machine.name)
 
     def _at_fault(self, machine: Machine) -> bool:
         """Whether different jobs fail on it that do not fail elsewhere as well.
--- a/src/poppyhold/store.py
+++ b/src/poppyhold/store.py
@@ -252,6 +252,8 @@
         # Two thirds of the writes: the rest is for the users' nodes and the election.
         self._gap_s = 1.5 / limits.write_rps
         self._pause_s = 2 / limits.rps
+        # Those that somebody waits for, and the rest; each in order, lest the oldest starve in a burst.
+        self._urgent: deque[Unit] = deque()
         self._queue: deque[Unit] = deque()
         self._wake = threading.Condition()
         self._stopped = False
@@ -261,10 +263,7 @@
     def submit(self, unit: Unit, first: bool = False) -> None:
         """Queue a unit; its ``done`` is called with True once durable, False if a condition failed."""
         with self._wake:
-            if first:
-                self._queue.appendleft(unit)
-            else:
-                self._queue.append(unit)
+            (self._urgent if first else self._queue).append(unit)
             self._wake.notify()
 
     def stop(self) -> None:
@@ -275,17 +274,17 @@
 
     def _take(self) -> list[Unit]:
         with self._wake:
-            while not self._queue and not self._stopped:
+            while not (self._urgent or self._queue or self._stopped):
                 self._wake.wait()
             units: list[Unit] = []
             writes = conditions = 0
-            while self._queue and not self._stopped:
-                unit = self._queue[0]
+            while (waiting := self._urgent or self._queue) and not self._stopped:
+                unit = waiting[0]
                 writes += len(unit.writes)
                 conditions += len(unit.conditions) + 1
                 if units and (writes > self._ops or conditions > 4 * self._ops or len(units) >= 8):
                     break
-                units.append(self._queue.popleft())
+                units.append(waiting.popleft())
             return units
 
     def _run(self) -> None:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -111,6 +111,11 @@
         for node in self._nodes(which):
             self._for_a_while(node, "cut_workers", seconds)
 
+    def do_freeze(self, which: str, word: str, seconds: str) -> None:
+        """The node stands still while its clocks run on."""
+        for node in self._nodes(which):
+            self._for_a_while(node, "frozen", seconds)
+
     def do_lose_answers(self, which: str, number: str) -> None:
         for node in self._nodes(which):
             node.lose_answers = int(number)
--- a/tests/world.py
+++ b/tests/world.py
@@ -146,7 +146,9 @@
 
     def _later(self, delay: float, work: Callable[[], None]) -> None:
         def run() -> None:
-            if self.alive and self.node.alive:
+            if self.node.frozen:
+                self.world.after(STEP_S, run)
+            elif self.alive and self.node.alive:
                 work()
                 self.settle()
 
@@ -154,7 +156,7 @@
 
     def settle(self) -> None:
         """As the decision thread does: when a pass must wait, it wakes up for it."""
-        if not self.alive or not self.node.alive:
+        if not self.alive or not self.node.alive or self.node.frozen:
             return
         self.controller.settle()
         if self.controller.ctx.dirty and self.controller.settle_at > max(self.world.now, self.woken_at):
@@ -317,6 +319,8 @@
         self.refused = False
         self.cut_workers = False
         self.cut_peers = False
+        # It stands still while its clocks run on.
+        self.frozen = False
         self.lose_answers = 0
         self.resting_until = 0.0
         self.back_at = float("inf")
@@ -377,6 +381,8 @@
     def step(self) -> None:
         """What a node's duties do every so often."""
         world = self.world
+        if self.frozen:
+            return
         try:
             if self.reign is not None:
                 self._reign(self.reign)
@@ -426,7 +432,7 @@
     def _ask_peers(self) -> None:
         world = self.world
         for other in world.nodes:
-            if other is self or not other.alive or self.cut_peers or other.cut_peers:
+            if other is self or not other.alive or other.frozen or self.cut_peers or other.cut_peers:
                 continue
             if world.severed(self.zone, other.zone):
                 continue
@@ -601,7 +607,7 @@
             worker.busy_until = self.now + 1.0
             return
 
-        if self.severed(node.zone, worker.zone):
+        if node.frozen or self.severed(node.zone, worker.zone):
             # No answer for four seconds, and a second to the next.
             worker.node = (worker.node + 1) % 3
             worker.busy_until = self.now + 5.0
@@ -665,7 +671,7 @@
             self.cancelled_at.setdefault(job_id, self.now)
 
     def _any_node(self, ask: Callable[[SimNode], Answer]) -> Answer | None:
-        alive = [node for node in self.nodes if node.alive and node.zone != self.cut]
+        alive = [node for node in self.nodes if node.alive and not node.frozen and node.zone != self.cut]
         return ask(self.rng.choice(alive)) if alive else None
 
     def _poll(self) -> None:
