--- a/src/poppyhold/admission.py
+++ b/src/poppyhold/admission.py
@@ -94,6 +94,8 @@
         self._released = True
         self._reconsider_at = 0.0
         self._pass = Pass([], [], NOTHING)
+        # Jobs that passes which were broken off came to.
+        self._looked_at: set[str] = set()
 
     def _slot(self) -> int:
         return int(self._ctx.wall() / self._ctx.times.slot_s)
@@ -287,15 +289,26 @@
         steady = [machine for machine in machines if machine.shaky_until <= now]
         self._pass = Pass(machines, steady, self._unknown_use())
         self.placement.begin(machines, [job for job in ctx.fleet.jobs.values() if job.active])
+        # A backlog that meets a thousand empty machines takes seconds: reports must not wait for it. The next
+        # pass goes on with those that this one did not come to.
+        budget_s = ctx.times.report_s / 16
+        stop_at = now + budget_s
+        ready.sort(key=lambda job: job.id in self._looked_at)
         for job in ready:
-            if job.admitted:
+            if job.admitted and ctx.clock() <= stop_at:
                 cap = self._cap(job)
                 if cap > 0 and not (job.gang and cap < job.pending):
                     self._start_some(job, cap, None)
         reserved = self._reserved()
+        stop_at = ctx.clock() + budget_s
         for job in ready:
+            if ctx.clock() > stop_at:
+                ctx.dirty = True
+                return
+            self._looked_at.add(job.id)
             if job.pending > 0:
                 self._start_some(job, job.pending, reserved)
+        self._looked_at.clear()
 
     def _urgency(self, job: Job, now: float) -> tuple[int, bool, int, float, float, str]:
         """Order of the jobs that wait: priority, guarantee, and then by what their value does.
--- a/src/poppyhold/messages.py
+++ b/src/poppyhold/messages.py
@@ -10,6 +10,8 @@
 import msgspec
 
 BODY_LIMIT = 64 * 1024
+# Machines' names become keys of the state service: one that can't be a key would be tried there for ever.
+_BOX = re.compile(r"[A-Za-z0-9._:-]{1,120}\Z")
 JOB_ID = re.compile(r"job-[0-9]{6,18}\Z", re.ASCII)
 Rank = Literal["critical", "high", "standard", "best_effort"]
 RANKS: tuple[Rank, ...] = ("critical", "high", "standard", "best_effort")
@@ -166,6 +168,8 @@
     report = convert(value, Report)
     if report.shift < 1 or report.tally < 0 or report.baton < 0:
         raise Malformed("shift, tally or baton is out of range")
+    if not _BOX.match(report.box):
+        raise Malformed("box is not a machine's name")
     return report
 
 
--- a/tests/test_smoke.py
+++ b/tests/test_smoke.py
@@ -4,6 +4,7 @@
 
 import http.server
 import os
+import resource
 import socket
 import subprocess
 import sys
@@ -15,8 +16,10 @@
 
 import pytest
 
-from poppyhold.http import Answer, Client, NoAnswer, NotSent, Server
+from poppyhold.http import Answer, Client, Deferred, NoAnswer, NotSent, Server
 from poppyhold.messages import decode, encode
+from poppyhold.settings import MachineLimits
+from poppyhold.workers import Done, Lane
 from standins import CloudStandIn, StateStandIn, WorkerStandIn
 from world import build_data, submission
 
@@ -292,6 +295,68 @@
         server.close_all()
 
 
+def test_old_connections_of_workers_make_room() -> None:
+    server = Server(("127.0.0.1", 0), lambda method, path, body: (200, {}, {}), 1, worker_s=0.2)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    clients = [Client("127.0.0.1", server.server_port) for _ in range(2)]
+    try:
+        # It was a worker's, but its zone was cut off, and it has come back over another one.
+        assert clients[0].request("POST", "/hello", {}, timeout=5.0)[0] == 200
+        time.sleep(0.3)
+        assert clients[1].request("POST", "/hello", {}, timeout=5.0)[0] == 200
+    finally:
+        for client in clients:
+            client.close()
+        server.close_all()
+
+
+def test_the_largest_fleet_has_a_connection_each() -> None:
+    limits = MachineLimits(max_sockets=1900)
+    workers = 1000
+    # Both ends are in this process.
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, max(soft, 2 * workers + 200)), hard))
+
+    def route(method: str, path: str, body: bytes) -> Deferred:
+        return lambda send: send((200, {"of": decode(body)["box"]}, {}))
+
+    before = threading.active_count()
+    server = Server(("127.0.0.1", 0), route, limits.connections)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    clients = [Client("127.0.0.1", server.server_port) for _ in range(workers)]
+    try:
+        for _ in range(2):
+            for number, client in enumerate(clients):
+                status, body = client.request("POST", "/hello", {"box": number}, timeout=PATIENCE_S)
+                assert (status, body) == (200, {"of": number})
+        assert workers <= threading.active_count() - before <= workers + 10
+    finally:
+        for client in clients:
+            client.close()
+        server.close_all()
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+def test_silent_machines_hold_up_no_commands() -> None:
+    busy = threading.Event()
+    sent: list[str] = []
+
+    def carry_out(endpoint: str, body: Data, done: Done) -> None:
+        sent.append(endpoint)
+        if endpoint == "silent":
+            busy.wait(PATIENCE_S)
+
+    lane = Lane(41, 1.0, carry_out)
+    for _ in range(40):
+        lane.put("silent", {}, lambda outcome, report: None)
+    lane.put("quick", {}, lambda outcome, report: None)
+    try:
+        eventually(lambda: "quick" in sent)
+    finally:
+        lane.stop()
+        busy.set()
+
+
 def test_handler_is_the_standard_one() -> None:
     assert issubclass(Server, http.server.HTTPServer)
     assert decode(encode({"a": 1})) == {"a": 1}
