--- a/src/poppyhold/cli.py
+++ b/src/poppyhold/cli.py
@@ -11,7 +11,9 @@
 from collections.abc import Sequence
 
 from poppyhold import __version__
-from poppyhold.settings import ConfigError, load_settings
+from poppyhold.settings import ConfigError, load_settings, strains
+
+log = logging.getLogger(__name__)
 
 # A thread per connection: a small stack each.
 _STACK = 256 * 1024
@@ -47,6 +49,8 @@
     except ConfigError as error:
         print(f"poppyhold: {error}", file=sys.stderr)
         return 2
+    for line in strains(settings):
+        log.warning("%s", line)
     if args.command == "check-config":
         print("ok")
         return 0
--- a/src/poppyhold/settings.py
+++ b/src/poppyhold/settings.py
@@ -128,6 +128,29 @@
 }
 
 
+# What a process takes before anybody connects, and what a connection takes with its thread and its machine's
+# state, as seen with some hundreds of machines.
+_BASE_MB, _CONNECTION_MB = 30.0, 0.06
+# Sockets and threads for the state service, the cloud, other controllers and commands; fewer are not enough.
+_LEAST_SOCKETS = 64
+
+
+def strains(settings: Settings) -> list[str]:
+    """Limits that don't go together, a line each: the service runs with them, but not as it might."""
+    limits = settings.settings.machine_limits
+    found = []
+    if limits.max_sockets < _LEAST_SOCKETS:
+        found.append(f"settings.machine_limits.max_sockets: {limits.max_sockets} leave workers hardly any")
+    carried = int((limits.ram_mb - _BASE_MB) / _CONNECTION_MB)
+    if carried < limits.connections:
+        part = f"carries about {max(0, carried)} of {limits.connections} connections"
+        found.append(f"settings.machine_limits.ram_mb: {part}")
+    workers = settings.settings.workers
+    if workers.cancel_s < 2 * workers.lease_s:
+        found.append("settings.workers.cancel_s: below two leases, so work will not outlast long outages")
+    return found
+
+
 def split_address(text: str, field: str = "address") -> tuple[str, int]:
     """Split ``host:port``."""
     host, _, port = text.rpartition(":")
--- a/tests/test_smoke.py
+++ b/tests/test_smoke.py
@@ -14,14 +14,15 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 
 from poppyhold.http import Answer, Client, Deferred, NoAnswer, NotSent, Server
 from poppyhold.messages import decode, encode
-from poppyhold.settings import MachineLimits
+from poppyhold.settings import MachineLimits, Workers, strains
 from poppyhold.workers import Done, Lane
 from standins import CloudStandIn, StateStandIn, WorkerStandIn
-from world import build_data, submission
+from world import World, build_data, submission
 
 ROOT = Path(__file__).resolve().parent.parent
 PATIENCE_S = 60.0
@@ -357,6 +358,28 @@
         busy.set()
 
 
+def test_limits_that_do_not_go_together_are_named() -> None:
+    settings = World(1, 10.0, 30.0, []).settings
+    assert strains(settings) == []
+    small = msgspec.structs.replace(
+        settings,
+        settings=msgspec.structs.replace(
+            settings.settings,
+            machine_limits=MachineLimits(ram_mb=40.0, max_sockets=40),
+            workers=Workers(lease_s=10.0, cancel_s=15.0),
+        ),
+    )
+    assert [line.split(":")[0] for line in strains(small)] == [
+        "settings.machine_limits.max_sockets",
+        "settings.workers.cancel_s",
+    ]
+    large = msgspec.structs.replace(
+        settings,
+        settings=msgspec.structs.replace(settings.settings, machine_limits=MachineLimits(ram_mb=60.0)),
+    )
+    assert "carries about 500 of 680 connections" in strains(large)[0]
+
+
 def test_handler_is_the_standard_one() -> None:
     assert issubclass(Server, http.server.HTTPServer)
     assert decode(encode({"a": 1})) == {"a": 1}
