--- a/src/poppyhold/admission.py
+++ b/src/poppyhold/admission.py
@@ -19,7 +19,7 @@
 
 
 # Leases after which a job that has not begun is no longer passed over for more valuable ones. With twice as
-# many, the largest arrays of a small fleet under overload began four minutes and more behind their submission.
+# many, large arrays of a small fleet under overload began four minutes and more behind their submission.
 _PATIENCE_LEASES = 6
 
 
