--- a/src/poppyhold/admission.py
+++ b/src/poppyhold/admission.py
@@ -19,7 +19,7 @@
 
 
 # Leases after which a job that has not begun is no longer passed over for more valuable ones. With twice as
-# many, the largest arrays of a small fleet under overload began four minutes and more behind their submission.
+# many, large arrays of a small fleet under overload began four minutes and more behind their submission.
 _PATIENCE_LEASES = 6
 
 
@@ -325,7 +325,8 @@
         rest = max(0.0, self.estimates.seconds(job) - job.saved_s())
         group = 1 if job.due_at is None or now + rest <= job.due_at else 2
         if not job.active and not job.done and now - job.at > self._ctx.times.lease_s * _PATIENCE_LEASES:
-            group = 0
+            # By arrival: by least work, the largest of them would again come last.
+            return job.rank, not job.guaranteed, 0, 0.0, job.at, job.id
         work = rest * job.pending * (spec.accelerators or spec.cpus)
         return job.rank, not job.guaranteed, group, work, job.at, job.id
 
