--- a/src/poppyhold/controller.py
+++ b/src/poppyhold/controller.py
@@ -203,8 +203,8 @@
                 self._quotas.mark_guaranteed(job for job in self.ctx.fleet.jobs.values() if not job.over)
             self.admission.dispatch(self.attempts.all_heard())
             ended = self.ctx.clock()
-            rest = max(6 * (ended - began), self.ctx.times.report_s / 50)
-            self.settle_at = ended + min(rest, self.ctx.times.report_s / 4)
+            rest = max(6 * (ended - began), self.ctx.times.report_s / 25)
+            self.settle_at = ended + min(rest, self.ctx.times.report_s / 2)
         self.attempts.flush()
 
     def counts(self) -> dict[str, tuple[int, int]]:
--- a/src/poppyhold/service.py
+++ b/src/poppyhold/service.py
@@ -125,7 +125,7 @@
         self._node, self._term = node, term
         self.alive = True
         limits, workers = node.settings.settings.machine_limits, node.settings.settings.workers
-        self._queue = RankedQueue(limits.max_sockets, workers.report_s / 200)
+        self._queue = RankedQueue(limits.max_sockets, workers.report_s / 100)
         self._committer = Committer(node.store, node.settings, term.stamp, self._lost)
         self._senders = Senders(node.settings)
         self._cloud: CloudThread | None = None
