Controllers name the cancellations they told; the leader stops just those

Cause: a leader that the state service refuses alone can't see what other controllers confirm.

Only the other controllers were asked: with all of them silent about it the leader answered for ever. It asks itself now as it asks the others. - A controller that had begun anew and seen no revision yet named the revision of an older job that a user asked for, and hid what its process before had told. It says that it can't know. - Moments counted when changes were received, not when the decision thread had acted on them. - Answers to reports that prove nothing renewed a lease without the stops for what must be gone. - A cancellation overtakes its submission in the decision thread's queue (another rank): the job came into being behind it and stayed, with room hired for it. Jobs that are over are remembered, and a plan that can't be made durable ends its job.

`done` no longer counts among the cancellations told: it made leaders stop for nothing.

Messages: a ping says the revision up to which the leader acted, a pong names the cancellations above it and the highest revision of the rest. Versions without either go by the one revision as before.

Tests: gap.txt and gap_unnamed.txt, which fail without naming and without the bound; test_peers.py for messages of other versions and for the leader's own edge with the real node.

--- a/src/poppyhold/admission.py
+++ b/src/poppyhold/admission.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+from collections.abc import Callable
 
 from poppyhold.attempts import Attempts
 from poppyhold.context import Context
@@ -77,8 +78,10 @@
 class Admission:
     """Plans jobs on priced room, and starts what plans or spare room allow."""
 
-    def __init__(self, ctx: Context, attempts: Attempts, quotas: Quotas) -> None:
-        self._ctx, self._attempts, self._quotas = ctx, attempts, quotas
+    def __init__(
+        self, ctx: Context, attempts: Attempts, quotas: Quotas, on_ended: Callable[[Job], None]
+    ) -> None:
+        self._ctx, self._attempts, self._quotas, self._on_ended = ctx, attempts, quotas, on_ended
         design = ctx.options.design
         self.ledger = Ledger(design.horizon_slots)
         self.pricing = Pricing(design)
@@ -234,6 +237,9 @@
             if done:
                 job.plan_durable = True
                 self._ctx.dirty = True
+            else:
+                # Its record is gone: it is over, and the news of that came before its own.
+                self._on_ended(job)
 
         conditions = {ACTIVE_KEYS + job.id: job.stamp}
         self._ctx.edges.commit(conditions, [put(PLAN + job.id, data)], durable, first=True)
--- a/src/poppyhold/attempts.py
+++ b/src/poppyhold/attempts.py
@@ -60,14 +60,16 @@
             machine.up_at = now
             ctx.dirty = True
         self._record(machine)
-        orders: list[Order] = []
         # A report from before the worker saw our baton may be a copy of any age, and so may one
         # whose tally is not above the last: it gets an answer, but proves nothing.
         if report.baton < ctx.term_baton:
             self.probe(machine, now)
+            orders = self._stops(machine, report, now)
         elif (report.shift, report.tally) > (machine.shift, machine.tally):
             self._take(machine, report, now, answered=True)
             orders = self._orders(machine, report, now)
+        else:
+            orders = self._stops(machine, report, now)
         return {"baton": ctx.baton, "orders": orders}
 
     def _meet(self, report: Report, now: float) -> Machine | None:
@@ -237,6 +239,24 @@
                 orders.append({"verb": "run", "chore": attempt.name, "try": attempt.number})
         return orders
 
+    def _stops(self, machine: Machine, report: Report, now: float) -> list[Order]:
+        """Stops for what must not go on: every answer that renews a lease carries them.
+
+        A report that proves nothing may all the same be the worker's own, and its answer the last one that
+        arrives for a lease: without these, a task cancelled long ago would live that lease to its end. What
+        is not there is not harmed by them, and who sent a copy drops the answer.
+        """
+        orders = [
+            self._stop_order(attempt, now)
+            for attempt in machine.attempts.values()
+            if attempt.stopping_at is not None
+        ]
+        for chore in report.chores:
+            job = self._ctx.fleet.jobs.get(split_task(chore.chore)[0])
+            if chore.status != "ended" and (job is None or job.over):
+                orders.append({"verb": "stop", "chore": chore.chore, "try": chore.attempt, "leewayS": 0})
+        return orders
+
     def _may_reap(self, chore: Chore) -> bool:
         """A completion must be durable first: its worker is the only one that knows of it."""
         job_id, index = split_task(chore.chore)
--- a/src/poppyhold/authority.py
+++ b/src/poppyhold/authority.py
@@ -2,33 +2,41 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
-
-from poppyhold.peers import PeerView
+from collections.abc import Iterable
 
 
 class Authority:
-    """Bounds what may be done without confirmation from the state service.
+    """What a leader knows of cancellations, and what it may do without confirmation from the state service.
 
-    A cancellation that we don't know of was told to its user either before we last were in step with
-    the state service, and then we know it, or by a controller that still has it. So we may answer
-    until a lease given now would end later than `cancel_s` behind the last moment at which every other
-    controller is known to have been cut off too.
+    A cancellation that we have not acted on was told to its user behind the last moment at which we were in
+    step with the state service, and by a controller that we have not asked since. So we may answer until a
+    lease given now would end later than `cancel_s` behind the last moment at which every controller, this one
+    too, was asked and had told nothing that we had not acted on.
     """
 
-    def __init__(
-        self, blind_answers_s: float, members: Iterable[str], views: Callable[[], dict[str, PeerView]]
-    ) -> None:
+    def __init__(self, blind_answers_s: float, members: Iterable[str], began_at: float) -> None:
         self._blind_answers_s = blind_answers_s
-        self._members = list(members)
-        self._views = views
+        self._clear_at = {member: float("-inf") for member in members}
+        # Every change before this moment, and up to this revision, has been acted on.
+        self.synced_at = began_at
+        self.ledger = -1
+
+    def synced(self, asked: float, ledger: int) -> None:
+        """All that the state service told of when it was asked is acted on."""
+        self.synced_at, self.ledger = asked, ledger
+
+    def learned(self, member: str, asked: float, bound: int) -> None:
+        """What a controller named when it was asked is acted on; all else that it told came by ``bound``.
+
+        The moment of the question counts: between its answer and now the controller may have told more.
+        """
+        if 0 <= bound <= self.ledger:
+            self._clear_at[member] = max(asked, self._clear_at[member])
 
-    def known_until(self, synced_at: float) -> float:
-        """No cancellation up to this moment is unknown to us."""
-        views = self._views()
-        blind = [views[member].blind_until if member in views else float("-inf") for member in self._members]
-        return max(synced_at, min(blind, default=float("inf")) if self._members else synced_at)
+    def known_until(self) -> float:
+        """No cancellation that was told up to this moment is unknown to us."""
+        return max(self.synced_at, min(self._clear_at.values()))
 
-    def may_answer(self, now: float, synced_at: float) -> bool:
+    def may_answer(self, now: float) -> bool:
         """Whether a worker may be given another lease."""
-        return now <= self.known_until(synced_at) + self._blind_answers_s
+        return now <= self.known_until() + self._blind_answers_s
--- a/src/poppyhold/controller.py
+++ b/src/poppyhold/controller.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -63,12 +64,18 @@
         self.ctx = Context(settings, options, edges, clock, wall, rng, baton, baton, times)
         self._quotas = Quotas(settings.settings.teams)
         self.attempts = Attempts(self.ctx, self._task_done, self._attempt_over, self._task_ran)
-        self.admission = Admission(self.ctx, self.attempts, self._quotas)
+        self.admission = Admission(
+            self.ctx, self.attempts, self._quotas, lambda job: self.job_removed(ACTIVE + job.id)
+        )
         self.hiring = Hiring(self.ctx, self.attempts, self._quotas, self._machine_gone)
         # Tasks per durable record of completions: a quarter of the largest value, four to a digit.
         self._chunk = max(64, int(settings.settings.state.value_kb * 1024 / 4) * 4)
         self._guarantees_stale = True
         self._flush_at = 0.0
+        # Jobs that were over before we heard of them. A cancellation may overtake the submission, in our own
+        # queue or because another controller told of it: the job must not come into being behind it.
+        self._ended: OrderedDict[str, None] = OrderedDict()
+        self._most_ended = int(settings.settings.machine_limits.ram_mb * 10)
         # Before this moment no pass is made over what waits.
         self.settle_at = float("-inf")
 
@@ -136,7 +143,8 @@
 
     def job_set(self, entry: Entry) -> None:
         """A job was accepted."""
-        if entry.key.removeprefix(ACTIVE) in self.ctx.fleet.jobs:
+        job_id = entry.key.removeprefix(ACTIVE)
+        if job_id in self.ctx.fleet.jobs or job_id in self._ended:
             return
         job = self._add_job(entry)
         if job is not None:
@@ -145,7 +153,11 @@
 
     def job_removed(self, key: str) -> None:
         """A job is over: cancelled by its user, or done by us."""
-        job = self.ctx.fleet.jobs.get(key.removeprefix(ACTIVE))
+        job_id = key.removeprefix(ACTIVE)
+        self._ended[job_id] = None
+        if len(self._ended) > self._most_ended:
+            self._ended.popitem(last=False)
+        job = self.ctx.fleet.jobs.get(job_id)
         if job is None or job.over:
             return
         job.over = True
--- a/src/poppyhold/peers.py
+++ b/src/poppyhold/peers.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from poppyhold.cancellations import Cancellation
 from poppyhold.context import Hints
 from poppyhold.deputy import Deputies, Trust
 from poppyhold.settings import Known, Settings, split_address
@@ -34,12 +35,15 @@
     state_age_s: float
     # Highest revision of a cancellation that the sender told a user; -1: it can't know.
     told: int
+    # Workers that turned to it lately.
     workers: int
     counts: list[Count] = []
     # Images of machines whose images changed: a next leader starts from them.
     images: list[tuple[str, tuple[tuple[str, float], ...]]] = []
     # What a leader is sure of, for those who may have to stand in for it.
     trust: Trust | None = None
+    # Revision up to which a leader has acted on every cancellation; -1: it does not lead, or does not say.
+    known: int = -1
 
 
 class Pong(msgspec.Struct, frozen=True, array_like=True, tag="pong"):
@@ -50,8 +54,16 @@
     leading: bool
     state_age_s: float
     told: int
-    # Workers that turned to it lately.
     workers: int
+    # Cancellations that it told users of and that the leader may not know, and the highest revision of all
+    # others that it told. None from a version that names none: then `told` bounds all of them.
+    cancelled: list[Cancellation] = []
+    unnamed: int | None = None
+
+    @property
+    def bound(self) -> int:
+        """Who knows every change up to this revision knows all that is not named; -1: that can't be said."""
+        return self.told if self.unnamed is None else self.unnamed
 
 
 Message = Ping | Pong
@@ -86,8 +98,6 @@
 class PeerView(NamedTuple):
     """What we know of another controller."""
 
-    # It had not told a user anything that we may not know, up to this moment of our clock.
-    blind_until: float
     # Moments of its last answer, and of its last word from the state service.
     heard_at: float
     contact_at: float
@@ -103,17 +113,15 @@
         describe: Callable[[], Ping],
         counts: Callable[[], dict[str, tuple[int, int]]],
         hints: Callable[[], Hints],
-        known_ledger: Callable[[], int],
-        on_ping: Callable[[Ping], None],
-        on_pong: Callable[[Pong], None],
+        reply: Callable[[Ping], Pong],
+        on_pong: Callable[[Pong, float], None],
         on_refused: Callable[[str], None],
         deputies: Callable[[], Deputies | None],
     ) -> None:
         self._settings = settings
         self._deputies = deputies
-        self._describe, self._counts, self._known_ledger = describe, counts, known_ledger
-        self._hints = hints
-        self._on_ping, self._on_pong, self._on_refused = on_ping, on_pong, on_refused
+        self._describe, self._counts, self._hints = describe, counts, hints
+        self._reply, self._on_pong, self._on_refused = reply, on_pong, on_refused
         workers = settings.settings.workers
         self._every_s = workers.report_s / 2
         self._timeout_s = workers.lease_s / 10
@@ -159,11 +167,7 @@
                     message = receive(connection)
                     if not isinstance(message, Ping):
                         raise ValueError("not a ping")
-                    self._on_ping(message)
-                    us = self._describe()
-                    send(
-                        connection, Pong(us.member, us.baton, us.leading, us.state_age_s, us.told, us.workers)
-                    )
+                    send(connection, self._reply(message))
         except (OSError, ValueError, msgspec.MsgspecError) as error:
             log.debug("peer connection: %s", error)
         except Exception:
@@ -210,16 +214,9 @@
             self._note(known.member, message, asked)
             if deputies is not None:
                 deputies.answered(known.member, asked)
-            self._on_pong(message)
+            self._on_pong(message, asked)
             self._stop.wait(self._every_s)
 
     def _note(self, member: str, pong: Pong, asked: float) -> None:
-        old = self.views.get(member)
-        blind_until = old.blind_until if old else float("-inf")
-        answered = time.monotonic()
-        # If we know every change up to the last cancellation it told anybody, then until it got our
-        # question it has told nobody anything that we don't know.
-        if 0 <= pong.told <= self._known_ledger():
-            blind_until = asked
         contact_at = asked - pong.state_age_s
-        self.views[member] = PeerView(blind_until, answered, contact_at, pong.workers)
+        self.views[member] = PeerView(time.monotonic(), contact_at, pong.workers)
--- a/src/poppyhold/service.py
+++ b/src/poppyhold/service.py
@@ -7,12 +7,13 @@
 import threading
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import msgspec
 
 from poppyhold.authority import Authority
+from poppyhold.cancellations import Cancellation
 from poppyhold.cloud import CloudClient, CloudThread
 from poppyhold.context import Data, Hints, Times
 from poppyhold.controller import Controller, Snapshot
@@ -132,9 +133,10 @@
         self._watch: Watch | None = None
         self._counts: dict[str, tuple[int, int]] = {}
         self._hints: Hints = {}
-        self.deputies = Deputies(Times(node.settings, node.options), node.skew_s)
-        # Every cancellation told before this moment has been acted on.
-        self._applied_at = float("-inf")
+        times = Times(node.settings, node.options)
+        members = [node.settings.member, *(known.member for known in node.settings.known)]
+        self.authority = Authority(times.blind_answers_s, members, term.began_at)
+        self.deputies = Deputies(times, node.skew_s)
         self.trust: Trust | None = None
         self.controller = Controller(
             node.settings, node.options, self, term.baton, time.monotonic, time.time, node.rng
@@ -179,6 +181,7 @@
                     work()
                 if time.monotonic() >= tick_at:
                     self.controller.tick()
+                    self._ask_ourselves()
                     self._counts = self.controller.counts()
                     self._hints = self.controller.hints()
                     self._vouch()
@@ -221,16 +224,30 @@
             # A cancellation is not a submission: it is acted on with the decisions.
             self._post(DECISIONS, lambda: self.controller.job_removed(change))
 
-    def _on_synced(self, asked: float) -> None:
+    def _on_synced(self, asked: float, ledger: int) -> None:
         # In line behind the changes that it stands for.
-        def applied() -> None:
-            self._applied_at = asked
+        self._post(DECISIONS, lambda: self.authority.synced(asked, ledger))
 
-        self._post(DECISIONS, applied)
+    def told(self, pong: Pong, asked: float) -> None:
+        """Another controller answered which cancellations it told."""
+        self._post(DECISIONS, lambda: self._act_on(pong.member, pong.cancelled, pong.bound, asked))
+
+    def _act_on(self, member: str, cancelled: Iterable[Cancellation], bound: int, asked: float) -> None:
+        """Stop what a controller told as cancelled: it is durable, whether or not we can see it there."""
+        for job_id, _ in cancelled:
+            self.controller.job_removed(ACTIVE + job_id)
+        self.authority.learned(member, asked, bound)
+
+    def _ask_ourselves(self) -> None:
+        """What our own users' edge told may not have come back to us when the state service refuses us."""
+        asked = time.monotonic()
+        self._node.users.cancellations.known(self.authority.ledger)
+        named, bound = self._node.cancellations_told()
+        self._act_on(self._node.settings.member, named, bound, asked)
 
     def _vouch(self) -> None:
         """Note what the other controllers may count on, should they lose us."""
-        sure_at = min(self._applied_at, self.confirmed_at())
+        sure_at = min(self.authority.synced_at, self.confirmed_at())
         shunned = self.controller.shunned()
         if shunned is None or sure_at == float("-inf"):
             self.trust = None
@@ -288,15 +305,7 @@
 
     def may_answer(self) -> bool:
         """Whether workers may be given another lease."""
-        return self._node.authority.may_answer(time.monotonic(), self.synced_at())
-
-    def synced_at(self) -> float:
-        """Everything changed before this moment is known to us."""
-        return self._watch.synced_at if self._watch is not None else self._term.began_at
-
-    def known_ledger(self) -> int:
-        """Revision up to which every cancellation is known to us."""
-        return self._watch.ledger if self._watch is not None else -1
+        return self.authority.may_answer(time.monotonic())
 
     def counts(self) -> dict[str, tuple[int, int]]:
         """Done and running tasks by job, as of the last tick."""
@@ -376,7 +385,7 @@
         return (
             self.alive
             and now - election.confirmed_at < election.life_s
-            and now - self.synced_at() < election.life_s * 2
+            and now - self.authority.synced_at < election.life_s * 2
         )
 
     def confirmed_at(self) -> float:
@@ -415,8 +424,7 @@
             self._describe,
             self._counts,
             self._hints,
-            self._known_ledger,
-            self._on_ping,
+            self._reply,
             self._on_pong,
             self._refused,
             self._deputies,
@@ -424,11 +432,6 @@
         workers = settings.settings.workers
         times = Times(settings, options)
         self.deputy = Deputy(times, self.skew_s, time.monotonic, time.time)
-        self.authority = Authority(
-            times.blind_answers_s,
-            [known.member for known in settings.known],
-            lambda: self.peers.views,
-        )
         # Behind this a worker has given up the answer, as PROTOCOL says: it comes at once or not at all.
         self._hello_timeout = min(workers.report_s * 2.5, _WORKER_PATIENCE_S * 0.75)
         # A worker that is not told where to go tries another node a second later. Where all nodes have just
@@ -505,10 +508,6 @@
             if reign is not None:
                 reign.stop()
 
-    def _known_ledger(self) -> int:
-        reign = self._reign
-        return reign.known_ledger() if reign is not None else -1
-
     def _counts(self) -> dict[str, tuple[int, int]]:
         reign = self._reign
         return reign.counts() if reign is not None else {}
@@ -531,13 +530,31 @@
     def _describe(self) -> Ping:
         term = self.election.term
         age = time.monotonic() - max(self.store.contact_at, self._started_at)
-        # What a process of ours before this one told is not above the first revision that we saw.
-        told = max(self.users.told, self.election.watch.first_ledger)
         workers = self._workers_passed_on()
         reign = self._reign
         trust = reign.trust if reign is not None and reign.alive else None
+        known = reign.authority.ledger if reign is not None else -1
+        named, unnamed = self.cancellations_told()
+        told = unnamed if unnamed < 0 else max([unnamed, *(revision for _, revision in named)])
         baton = term.baton if term else 0
-        return Ping(self.settings.member, baton, term is not None, age, told, workers, trust=trust)
+        return Ping(
+            self.settings.member, baton, term is not None, age, told, workers, trust=trust, known=known
+        )
+
+    def cancellations_told(self) -> tuple[list[Cancellation], int]:
+        """Cancellations that we told users of, as `Cancellations.named` says."""
+        return self.users.cancellations.named(self.election.watch.first_ledger)
+
+    def _reply(self, ping: Ping) -> Pong:
+        self._on_ping(ping)
+        us = self._describe()
+        named: list[Cancellation] = []
+        unnamed: int | None = None
+        if ping.leading and ping.known >= 0:
+            self.users.cancellations.known(ping.known)
+            # Read behind `us`: what is told in between is named as well.
+            named, unnamed = self.cancellations_told()
+        return Pong(us.member, us.baton, us.leading, us.state_age_s, us.told, us.workers, named, unnamed)
 
     def _on_ping(self, ping: Ping) -> None:
         if ping.leading:
@@ -554,7 +571,10 @@
             while len(self.peer_hints) > self.settings.settings.machine_limits.max_sockets:
                 self.peer_hints.pop(next(iter(self.peer_hints)))
 
-    def _on_pong(self, pong: Pong) -> None:
+    def _on_pong(self, pong: Pong, asked: float) -> None:
+        reign = self._reign
+        if reign is not None:
+            reign.told(pong, asked)
         if pong.leading:
             self.election.saw_baton(pong.baton)
             return
--- a/src/poppyhold/store.py
+++ b/src/poppyhold/store.py
@@ -174,17 +174,14 @@
         on_snapshot: Callable[[list[Entry]], None],
         on_change: Callable[[Entry | str, int], None],
         clock: Callable[[], float] = time.monotonic,
-        on_synced: Callable[[float], None] | None = None,
+        on_synced: Callable[[float, int], None] | None = None,
     ) -> None:
         self._store, self._prefix, self._hold_s = store, prefix, hold_s
         self._on_snapshot, self._on_change, self._clock = on_snapshot, on_change, clock
         self._on_synced = on_synced
         self._stop = threading.Event()
-        # Everything that was changed before this moment is known here.
-        self.synced_at = float("-inf")
-        # Revisions: of the first snapshot, and up to which every change is known.
+        # Revision of the first snapshot.
         self.first_ledger = -1
-        self.ledger = -1
         self._thread = threading.Thread(target=self._run, name=f"watch {prefix}", daemon=True)
 
     def start(self) -> Watch:
@@ -215,12 +212,10 @@
                             self._on_change(entry, entry.stamp)
                         else:
                             self._on_change(event["remove"], event["stamp"])
-                self.ledger = ledger
                 if self.first_ledger < 0:
                     self.first_ledger = ledger
-                self.synced_at = asked
                 if self._on_synced is not None:
-                    self._on_synced(asked)
+                    self._on_synced(asked, ledger)
             except Gone:
                 ledger = -1
             except (Refused, Unsure):
--- a/src/poppyhold/users.py
+++ b/src/poppyhold/users.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from poppyhold.cancellations import Cancellations
 from poppyhold.fleet import allowed_builds
 from poppyhold.http import Answer, answer
 from poppyhold.messages import JOB_ID, Build, Malformed, Submission, decode, encode, parse_submission
@@ -20,6 +21,8 @@
 log = logging.getLogger(__name__)
 
 _TRIES = 3
+# More cancellations than this would not fit into a message between controllers.
+_MOST_NAMED = 10_000
 
 
 class Finals:
@@ -57,8 +60,10 @@
         self._store, self._builds, self._counts = store, builds, counts
         self._quotas = Quotas(settings.settings.teams)
         self.finals = Finals(int(settings.settings.machine_limits.ram_mb * 100))
-        # Highest revision of a cancellation told here: a leader without the state service asks for it.
-        self.told = -1
+        # As many are named as the state service can take within the time that each of them has.
+        limits = settings.settings
+        most = int(limits.state.write_rps * limits.workers.cancel_s)
+        self.cancellations = Cancellations(min(most, _MOST_NAMED))
         # More at once than this would only wait for the state service's limit.
         self._slots = threading.BoundedSemaphore(max(4, int(settings.settings.state.rps / 4)))
         self._patience_s = settings.settings.workers.report_s / 4
@@ -140,11 +145,16 @@
             if entry is None:
                 return None
             final = (entry.data["s"], entry.data["n"])
-            self.told = max(self.told, entry.stamp)
-            self.finals.put(job_id, *final)
+            self._keep_final(job_id, final, entry.stamp)
         status, chores = final
         return {"nameId": job_id, "status": status, "done": chores if status == "done" else 0, "running": 0}
 
+    def _keep_final(self, job_id: str, final: tuple[str, int], revision: int) -> None:
+        # Before anybody is told, here or from what is kept: a leader that asks must be told of it first.
+        if final[0] == "cancelled":
+            self.cancellations.told(job_id, revision)
+        self.finals.put(job_id, *final)
+
     def poll(self, job_id: str) -> Answer:
         """GET /api/jobs/{id}."""
         if not JOB_ID.match(job_id):
@@ -179,7 +189,6 @@
             except (Conflict, Unsure):
                 # It moved, or may have: look again.
                 continue
-            self.told = max(self.told, ledger)
-            self.finals.put(job_id, "cancelled", chores)
+            self._keep_final(job_id, ("cancelled", chores), ledger)
             return answer(200, {"nameId": job_id, "status": "cancelled"})
         return self._later()
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,153 @@
+"""What controllers tell one another: across versions, and of cancellations that a leader can't see."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from typing import Any
+
+import msgspec
+import pytest
+
+from poppyhold.authority import Authority
+from poppyhold.cancellations import Cancellations
+from poppyhold.http import Answer
+from poppyhold.messages import encode
+from poppyhold.options import Options
+from poppyhold.peers import Ping, Pong, receive, send
+from poppyhold.service import Node
+from poppyhold.settings import Outside, Team
+from test_smoke import Outside as OutsideStandIns
+from test_smoke import eventually, free_port
+from world import World, submission
+
+PING = ["ping", "hive-1", 7, True, 0.5, 40, 3]
+PONG = ["pong", "hive-1", 0, False, 0.5, 40, 3]
+
+
+def over_a_connection(message: list[Any]) -> Ping | Pong:
+    """What is received of a message that another version sent."""
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        body = msgspec.msgpack.encode(message)
+        theirs.sendall(len(body).to_bytes(4, "big") + body)
+        return receive(ours)
+
+
+def test_messages_of_other_versions_are_taken() -> None:
+    old = over_a_connection(PONG)
+    assert isinstance(old, Pong)
+    # A version that names nothing: all that it told came by the one revision that it says.
+    assert (old.cancelled, old.bound) == ([], 40)
+    newer = over_a_connection([*PONG, [["job-000001", 41]], 12, "a further field", {"and": "more"}])
+    assert isinstance(newer, Pong)
+    assert (newer.cancelled, newer.bound) == ([("job-000001", 41)], 12)
+    ping = over_a_connection(PING)
+    assert isinstance(ping, Ping)
+    assert ping.known == -1
+    assert isinstance(over_a_connection([*PING, [], [], None, 39, "a further field"]), Ping)
+
+
+def test_what_we_send_is_what_an_older_version_reads() -> None:
+    class OldPong(msgspec.Struct, frozen=True, array_like=True, tag="pong"):
+        member: str
+        baton: int
+        leading: bool
+        state_age_s: float
+        told: int
+        workers: int
+
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        send(ours, Pong("hive-1", 0, False, 0.5, 41, 3, [("job-000001", 41)], 12))
+        size = int.from_bytes(theirs.recv(4), "big")
+        assert msgspec.msgpack.decode(theirs.recv(size), type=OldPong).told == 41
+
+
+@pytest.mark.parametrize("message", [[], ["pong"], [*PONG[:5], "x", 3], ["pang", 1], {"a": 1}], ids=str)
+def test_malformed_messages_are_refused(message: list[Any]) -> None:
+    with pytest.raises(ValueError):
+        over_a_connection(message)
+
+
+def test_what_is_not_named_bounds_what_a_leader_knows() -> None:
+    told = Cancellations(2)
+    assert told.named(-1) == ([], -1)
+    assert told.named(5) == ([], 5)
+    told.told("job-000001", 10)
+    told.told("job-000002", 11)
+    assert told.named(5) == ([("job-000001", 10), ("job-000002", 11)], 5)
+    # One too many: the oldest counts by its revision alone.
+    told.told("job-000003", 12)
+    assert told.named(5) == ([("job-000002", 11), ("job-000003", 12)], 10)
+    told.known(11)
+    assert told.named(5) == ([("job-000003", 12)], 11)
+    # A process that has seen no revision can't know what the one before it told.
+    assert told.named(-1) == ([("job-000003", 12)], -1)
+
+
+def test_only_moments_of_asking_count_and_only_of_all_controllers() -> None:
+    authority = Authority(20.0, ["a", "b"], began_at=0.0)
+    authority.synced(1.0, 10)
+    authority.learned("a", 30.0, 10)
+    assert authority.known_until() == 1.0
+    authority.learned("b", 25.0, 9)
+    assert authority.known_until() == 25.0
+    # It told something that was not acted on, or can't know: the moment stays where it was.
+    authority.learned("b", 40.0, 11)
+    authority.learned("b", 41.0, -1)
+    assert authority.may_answer(45.0)
+    assert not authority.may_answer(45.1)
+    authority.synced(42.0, 11)
+    assert authority.may_answer(62.0)
+
+
+class Refusing(OutsideStandIns):
+    """The state service can refuse watches alone, those that are open too, or everything."""
+
+    def __init__(self) -> None:
+        self.blind = self.down = False
+        super().__init__()
+
+    def _state(self, method: str, path: str, body: bytes) -> Answer:
+        answered = (503, {}, {}) if self.down else super()._state(method, path, body)
+        return (503, {}, {}) if self.blind and path.startswith("/follow") else answered
+
+
+def test_leader_stops_what_its_own_users_edge_told() -> None:
+    """It confirms a cancellation, and the state service never tells it of that: it knows all the same."""
+    world = Refusing()
+    settings = msgspec.structs.replace(
+        World(1, 10.0, 30.0, [Team("alpha")]).settings,
+        client_listen=f"127.0.0.1:{free_port()}",
+        back=f"127.0.0.1:{free_port()}",
+        outside=Outside(cloud=f"127.0.0.1:{world.ports[1]}", state=f"127.0.0.1:{world.ports[0]}"),
+        known=[],
+    )
+    node = Node(settings, Options())
+    stop = threading.Event()
+
+    def report() -> None:
+        while not stop.wait(0.2):
+            world.report(int(settings.client_listen.rpartition(":")[2]))
+
+    threads = [threading.Thread(target=work, daemon=True) for work in (node.run, report)]
+    try:
+        for thread in threads:
+            thread.start()
+        for job_id in ("job-000001", "job-000002"):
+            job = submission(job_id, {"shape": "service", "chores": 1, "rank": "critical", "sizeGb": 0.1})
+            world.jobs[job_id] = job
+            wire = {key: value for key, value in job.items() if key != "runs"}
+            eventually(lambda wire=wire: node.users.submit(encode(wire))[0] in (200, 201))  # type: ignore[misc]
+        eventually(lambda: len(world.worker.on_machine()) == 2)
+        world.blind = True
+        eventually(lambda: node.users.abort("job-000001")[0] == 200)
+        world.down = True
+        eventually(lambda: world.worker.on_machine() == ["job-000002/0"])
+        # It was stopped; had the lease ended instead, the other one would be gone as well.
+        assert world.worker.shift == 1
+    finally:
+        stop.set()
+        node.stop()
+        world.close()
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -11,6 +11,7 @@
 from poppyhold.admission import Pass
 from poppyhold.attempts import Attempts
 from poppyhold.authority import Authority
+from poppyhold.cancellations import Cancellations
 from poppyhold.controller import Controller
 from poppyhold.deputy import Deputies, Deputy
 from poppyhold.hiring import Hiring
@@ -70,8 +71,8 @@
         for index in range(int(number)):
             self.do_submit(f"job-{int(first) + index:06d}", *fields)
 
-    def do_cancel(self, job_id: str) -> None:
-        self.world.cancel(job_id)
+    def do_cancel(self, job_id: str, word: str = "at", which: str = "all") -> None:
+        self.world.cancel(job_id, self._nodes(which))
 
     def _nodes(self, which: str) -> list[Any]:
         world = self.world
@@ -240,6 +241,15 @@
     return []
 
 
+def _told_nothing(*_: object) -> tuple[list[object], int]:
+    return [], 0
+
+
+def _learned_all(self: Authority, member: str, asked: float, bound: int) -> None:
+    """Whatever a controller told, it is taken for known."""
+    self.synced(asked, self.ledger)
+
+
 def _count_nothing(self: Hiring, name: str, data: object) -> None:
     """Hires of earlier leaders are forgotten."""
 
@@ -261,6 +271,9 @@
     ("zone_cut", Deputy, "may_answer", _never),
     ("zone_cut_long", Deputies, "until", _long_ago),
     ("cancelled_before_the_cut", Controller, "shunned", _nobody),
+    ("gap", Cancellations, "named", _told_nothing),
+    ("gap", Authority, "learned", _never),
+    ("gap_unnamed", Authority, "learned", _learned_all),
 ]
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -20,7 +20,6 @@
 from poppyhold.http import Answer
 from poppyhold.messages import Build, Listed, Report, convert, encode, parse_report
 from poppyhold.options import Options
-from poppyhold.peers import PeerView
 from poppyhold.settings import Cloud as CloudLimits
 from poppyhold.settings import Deployment as DeploymentSettings
 from poppyhold.settings import Known, Outside, Settings, Team, Workers
@@ -111,9 +110,8 @@
         self.alive = True
         self.confirmed = self.world.now
         self.deputies = Deputies(node.times, 0.0)
-        self.synced = self.world.now
-        self.ledger = -1
         world = self.world
+        self.authority = Authority(node.times.blind_answers_s, world.members, world.now)
         self.controller = Controller(
             world.settings, Options(), self, baton, lambda: world.now, lambda: world.now, world.rng
         )
@@ -123,7 +121,8 @@
         self._count_calls("searches", admission.placement, "free")
         self._count_calls("searches", admission.placement, "preemptible")
         store = node.store
-        active, self.ledger = store.scan(ACTIVE)
+        active, ledger = store.scan(ACTIVE)
+        self.authority.synced(world.now, ledger)
         snapshot = Snapshot(
             active,
             grouped(store.scan(PLAN)[0], PLAN),
@@ -294,7 +293,7 @@
 
     def may_start(self) -> bool:
         now = self.world.now
-        return self.alive and now - self.confirmed < 2.5 and now - self.synced < 5.0
+        return self.alive and now - self.confirmed < 2.5 and now - self.authority.synced_at < 5.0
 
     def confirmed_at(self) -> float:
         return self.confirmed if self.alive else float("-inf")
@@ -305,7 +304,11 @@
     def trust(self) -> Trust | None:
         """What the other nodes may count on."""
         shunned = self.controller.shunned()
-        return None if shunned is None else Trust(self.baton, min(self.confirmed, self.synced), shunned)
+        return (
+            None
+            if shunned is None
+            else Trust(self.baton, min(self.confirmed, self.authority.synced_at), shunned)
+        )
 
 
 class SimNode:
@@ -332,15 +335,10 @@
         self.alive = True
         self.store = SimStore(self)
         self.reign = None
-        self.told_floor = -1
-        self.views: dict[str, PeerView] = {}
+        # First revision that this process saw.
+        self.first_ledger = -1
         self.passed_on: dict[str, float] = {}
         self.deputy = Deputy(self.times, 0.0, lambda: self.world.now, lambda: self.world.now)
-        self.authority = Authority(
-            self.times.blind_answers_s,
-            [m for m in self.world.members if m != self.member],
-            lambda: self.views,
-        )
         builds = {b["name"]: convert(b, Build) for b in self.world.cloud.builds}
         self.users = Users(self.world.settings, self.store, lambda: builds, self._count)
 
@@ -369,7 +367,7 @@
             self.passed_on[body["box"]] = self.world.now
             leader = self.world.leader()
             return 421, {"foreman": leader.member} if leader is not None else {}
-        if not self.authority.may_answer(self.world.now, reign.synced):
+        if not reign.authority.may_answer(self.world.now):
             return 503, {}
         answer = reign.controller.hello(parse_report(body))
         reign.settle()
@@ -388,8 +386,8 @@
                 self._reign(self.reign)
             elif world.now >= self.resting_until:
                 self._campaign()
-            if self.told_floor < 0:
-                self.told_floor = self.store.scan(LEAD)[1]
+            if self.first_ledger < 0:
+                self.first_ledger = self.store.scan(LEAD)[1]
         except Refused:
             pass
         self._ask_peers()
@@ -409,13 +407,12 @@
             self.step_down()
             return
         reign.confirmed = asked
-        for event in world.state.changes(ACTIVE, reign.ledger):
+        for event in world.state.changes(ACTIVE, reign.authority.ledger):
             if "set" in event:
                 reign.controller.job_set(Entry(event["set"], event["data"], event["stamp"]))
             else:
                 reign.controller.job_removed(event["remove"])
-        reign.ledger = world.state.ledger
-        reign.synced = asked
+        reign.authority.synced(asked, world.state.ledger)
 
     def _campaign(self) -> None:
         if self.store.get(LEAD) is not None:
@@ -430,22 +427,30 @@
         self.reign = SimReign(self, baton, stamp, permit)
 
     def _ask_peers(self) -> None:
-        world = self.world
+        world, reign = self.world, self.reign
+        if reign is None:
+            return
+        self.tell(reign)
         for other in world.nodes:
             if other is self or not other.alive or other.frozen or self.cut_peers or other.cut_peers:
                 continue
             if world.severed(self.zone, other.zone):
                 continue
-            if self.reign is not None:
-                self.reign.deputies.telling(other.member, world.now)
-                other.deputy.heard(self.reign.baton, self.reign.trust())
-                self.reign.deputies.answered(other.member, world.now)
-            if other.reign is not None and self.reign is not None and other.reign.baton > self.reign.baton:
+            reign.deputies.telling(other.member, world.now)
+            other.deputy.heard(reign.baton, reign.trust())
+            reign.deputies.answered(other.member, world.now)
+            if other.reign is not None and other.reign.baton > reign.baton:
                 self.step_down()
-            told = max(other.users.told, other.told_floor)
-            known = self.reign.ledger if self.reign is not None else -1
-            if 0 <= told <= known:
-                self.views[other.member] = PeerView(world.now, world.now, world.now, 0)
+                return
+            other.tell(reign)
+
+    def tell(self, leader: SimReign) -> None:
+        """Tell a leader which cancellations were told here, as peers' messages do."""
+        self.users.cancellations.known(leader.authority.ledger)
+        named, bound = self.users.cancellations.named(self.first_ledger)
+        for job_id, _ in named:
+            leader.controller.job_removed(ACTIVE + job_id)
+        leader.authority.learned(self.member, self.world.now, bound)
 
 
 class SimWorker(WorkerStandIn):
@@ -660,18 +665,21 @@
     def _resubmit(self, job: Data) -> None:
         self.submit(job)
 
-    def cancel(self, job_id: str) -> None:
-        """A user cancels, and tries again until the answer is final."""
-        result = self._any_node(lambda node: node.users.abort(job_id))
+    def cancel(self, job_id: str, nodes: list[SimNode] | None = None) -> None:
+        """A user cancels, at some node or at one of these, and tries again until the answer is final."""
+        result = self._any_node(lambda node: node.users.abort(job_id), nodes)
         if result is None or result[0] != 200:
-            self.after(1.0, lambda: self.cancel(job_id))
+            self.after(1.0, lambda: self.cancel(job_id, nodes))
             return
         self._tell(job_id, result[1]["status"])
         if result[1]["status"] == "cancelled":
             self.cancelled_at.setdefault(job_id, self.now)
 
-    def _any_node(self, ask: Callable[[SimNode], Answer]) -> Answer | None:
-        alive = [node for node in self.nodes if node.alive and not node.frozen and node.zone != self.cut]
+    def _any_node(
+        self, ask: Callable[[SimNode], Answer], nodes: list[SimNode] | None = None
+    ) -> Answer | None:
+        among = self.nodes if nodes is None else nodes
+        alive = [node for node in among if node.alive and not node.frozen and node.zone != self.cut]
         return ask(self.rng.choice(alive)) if alive else None
 
     def _poll(self) -> None:
