A leader's transactions without an answer are voided before the next one

Cause: a transaction without an answer may be carried out 2 to 12 s late, behind newer ones of the same leader, whose key it still names. A plan, a record of completions, a hire or a machine's record then went back to an older state, and the baton could fall: the next leader would have taken a baton that workers already had.

Every transaction now also names the revision of a fence, a key that the leader changes after one without an answer and before the next. A transaction costs no change more unless an answer was lost. Two steps that change the same key no longer share a transaction.

The scenarios' nodes use the same writer as the service.

--- a/src/poppyhold/store.py
+++ b/src/poppyhold/store.py
@@ -18,6 +18,8 @@
 LEAD = ROOT + "l/lead"
 LEAD_PREFIX = ROOT + "l/"
 BATON = ROOT + "b"
+# What a leader changes to make its transactions without an answer void.
+FENCE = ROOT + "c"
 BUILDS = ROOT + "t"
 ACTIVE = ROOT + "a/"
 FINAL = ROOT + "f/"
@@ -227,6 +229,55 @@
                 self._stop.wait(self._hold_s / 10)
 
 
+class Writer:
+    """A leader's transactions, one at a time: each is conditional on its key and on its fence.
+
+    One without an answer may be carried out late, behind newer ones of the same leader: an old plan, hire,
+    machine or record of completions would come back, or the baton fall. So before the next transaction the
+    fence is changed, and what was tried before is void.
+    """
+
+    def __init__(self, store: Store, lead_stamp: int) -> None:
+        self._store, self._lead_stamp = store, lead_stamp
+        self._fence: int | None = None
+        self._unsure = False
+
+    def commit(self, conditions: dict[str, int], writes: list[Data]) -> None:
+        """Try a transaction once. Behind `Unsure` it may be repeated.
+
+        If it went through after all, the repeat is the same again, or fails conditions of its own.
+        """
+        if self._fence is None or self._unsure:
+            self._raise_fence()
+        own = {LEAD: self._lead_stamp, FENCE: self._fence or 0}
+        try:
+            self._store.commit({**own, **conditions}, writes)
+        except Unsure:
+            self._unsure = True
+            raise
+        except Conflict as conflict:
+            if FENCE in conflict.failed and LEAD not in conflict.failed:
+                # It is ours alone to change: whoever did, look at it again.
+                self._fence = None
+                raise Refused("the fence has moved") from conflict
+            raise
+
+    def _raise_fence(self) -> None:
+        if self._unsure and self._fence is not None:
+            own = {LEAD: self._lead_stamp, FENCE: self._fence}
+            try:
+                self._fence = self._store.commit(own, [put(FENCE, {"behind": self._fence})])
+                self._unsure = False
+                return
+            except Conflict as conflict:
+                if LEAD in conflict.failed:
+                    raise
+                # A try of this very step that had no answer was carried out: that has the same effect.
+        entry = self._store.get(FENCE)
+        self._fence = entry.stamp if entry is not None else 0
+        self._unsure = False
+
+
 class Unit(NamedTuple):
     """One durable step of the leader: it is carried out whole or not at all."""
 
@@ -241,7 +292,7 @@
     def __init__(
         self, store: Store, settings: Settings, lead_stamp: int, on_deposed: Callable[[], None]
     ) -> None:
-        self._store, self._lead_stamp, self._on_deposed = store, lead_stamp, on_deposed
+        self._writer, self._on_deposed = Writer(store, lead_stamp), on_deposed
         limits = settings.settings.state
         self._ops = limits.txn_ops
         # Two thirds of the writes: the rest is for the users' nodes and the election.
@@ -273,12 +324,21 @@
                 self._wake.wait()
             units: list[Unit] = []
             writes = conditions = 0
+            keys: set[str] = set()
             while (waiting := self._urgent or self._queue) and not self._stopped:
                 unit = waiting[0]
                 writes += len(unit.writes)
-                conditions += len(unit.conditions) + 1
-                if units and (writes > self._ops or conditions > 4 * self._ops or len(units) >= 8):
+                conditions += len(unit.conditions)
+                own = {str(write.get("set") or write.get("remove")) for write in unit.writes}
+                if units and (
+                    writes > self._ops
+                    or conditions + 2 > 4 * self._ops
+                    or len(units) >= 8
+                    # What order two changes of a key have within a transaction is not said.
+                    or not keys.isdisjoint(own)
+                ):
                     break
+                keys |= own
                 units.append(waiting.popleft())
             return units
 
@@ -295,14 +355,14 @@
             self._carry_out(units)
 
     def _carry_out(self, units: list[Unit]) -> None:
-        conditions = {LEAD: self._lead_stamp}
+        conditions: dict[str, int] = {}
         writes: list[Data] = []
         for unit in units:
             conditions.update(unit.conditions)
             writes += unit.writes
         while units and not self._stopped:
             try:
-                self._store.commit(conditions, writes)
+                self._writer.commit(conditions, writes)
             except Conflict as conflict:
                 if LEAD in conflict.failed:
                     self._stopped = True
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -121,6 +121,18 @@
         for node in self._nodes(which):
             node.lose_answers = int(number)
 
+    def do_late_writes(self, share: str, word: str, seconds: str) -> None:
+        """Transactions get no answer and are carried out late, behind newer ones."""
+        self._share_for_a_while("late_writes", share, seconds)
+
+    def do_lost_answers(self, share: str, word: str, seconds: str) -> None:
+        """Transactions are carried out at once and get no answer."""
+        self._share_for_a_while("lost_answers", share, seconds)
+
+    def _share_for_a_while(self, name: str, share: str, seconds: str) -> None:
+        setattr(self.world, name, float(share))
+        self.world.after(float(seconds), lambda: setattr(self.world, name, 0.0))
+
     def do_lose_hires(self, number: str) -> None:
         self.world.lose_hires = int(number)
 
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,101 @@
+"""A leader's transactions when answers are lost and old ones are carried out late."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Any
+
+import pytest
+
+from poppyhold.store import BATON, LEAD, PLAN, Conflict, Entry, Refused, Store, Unsure, Writer, put
+from standins import StateStandIn
+
+Data = dict[str, Any]
+
+
+class Fickle(Store):
+    """A state service that does with each transaction what it is told to."""
+
+    def __init__(self, *fates: str) -> None:
+        self.state = StateStandIn(lambda: 0.0)
+        self.fates = deque(fates)
+        self.late: list[Data] = []
+
+    def get(self, key: str) -> Entry | None:
+        status, body = self.state.get(key)
+        return Entry(key, body["data"], body["stamp"]) if status == 200 else None
+
+    def commit(self, conditions: dict[str, int], writes: list[Data]) -> int:
+        body = {"if": [{"key": k, "stamp": s} for k, s in conditions.items()], "writes": writes}
+        fate = self.fates.popleft() if self.fates else "answered"
+        if fate == "refused":
+            raise Refused("503")
+        if fate == "late":
+            self.late.append(body)
+            raise Unsure("late")
+        status, answer = self.state.commit(body)
+        if fate == "lost":
+            raise Unsure("lost")
+        if status == 409:
+            raise Conflict(answer["failed"])
+        return int(answer["ledger"])
+
+    def carry_out_late(self) -> list[int]:
+        """What had no answer reaches the service now."""
+        return [self.state.commit(body)[0] for body in self.late]
+
+
+def leader(*fates: str) -> tuple[Fickle, Writer]:
+    """A store with a leader's key, and that leader's writer."""
+    store = Fickle()
+    stamp = store.commit({}, [put(LEAD, {"member": "hive-0"})])
+    store.fates.extend(fates)
+    return store, Writer(store, stamp)
+
+
+def until_certain(writer: Writer, key: str, value: int) -> None:
+    """Write as the committer does: repeat what had no answer."""
+    for _ in range(10):
+        try:
+            writer.commit({}, [put(key, {"v": value})])
+            return
+        except (Refused, Unsure):
+            continue
+    raise AssertionError("never certain")
+
+
+FATES = [
+    ["late", "answered", "answered"],
+    ["late", "late", "answered", "answered"],
+    ["late", "lost", "answered", "answered"],
+    ["late", "refused", "late", "late", "answered"],
+    ["lost", "late", "lost", "late", "answered"],
+    ["answered", "late", "answered", "late", "lost"],
+]
+
+
+@pytest.mark.parametrize("fates", FATES, ids=" ".join)
+@pytest.mark.parametrize("key", [BATON, PLAN + "job-000001"])
+def test_late_transactions_undo_nothing_newer(fates: list[str], key: str) -> None:
+    store, writer = leader(*fates)
+    for value in (1, 2, 3):
+        until_certain(writer, key, value)
+        assert store.state.keys[key][0] == {"v": value}
+    assert store.late or "late" not in fates
+    assert 200 not in store.carry_out_late()
+    assert store.state.keys[key][0] == {"v": 3}
+    # The leader goes on behind them.
+    until_certain(writer, key, 4)
+    assert store.state.keys[key][0] == {"v": 4}
+
+
+def test_a_new_leader_voids_what_the_old_one_left() -> None:
+    store, old = leader("late")
+    with pytest.raises(Unsure):
+        old.commit({}, [put(BATON, {"v": 1})])
+    stamp = store.commit({}, [put(LEAD, {"member": "hive-1"})])
+    until_certain(Writer(store, stamp), BATON, 2)
+    assert store.carry_out_late() == [409]
+    with pytest.raises(Conflict, match=LEAD):
+        old.commit({}, [put(BATON, {"v": 3})])
+    assert store.state.keys[BATON][0] == {"v": 2}
--- a/tests/world.py
+++ b/tests/world.py
@@ -7,7 +7,7 @@
 
 import heapq
 import random
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from typing import Any
 
@@ -36,6 +36,7 @@
     Refused,
     Store,
     Unsure,
+    Writer,
     grouped,
     put,
 )
@@ -90,7 +91,11 @@
 
     def commit(self, conditions: dict[str, int], writes: list[Data]) -> int:
         body = {"if": [{"key": k, "stamp": s} for k, s in conditions.items()], "writes": writes}
-        status, answer = self._state().commit(body)
+        state, world = self._state(), self._node.world
+        if world.late_writes and world.rng.random() < world.late_writes:
+            world.after(world.rng.uniform(2.0, 12.0), lambda: world.carry_out_late(body))
+            raise Unsure("late")
+        status, answer = state.commit(body)
         if status == 409:
             raise Conflict(answer["failed"])
         if status != 200:
@@ -98,6 +103,8 @@
         if self._node.lose_answers > 0:
             self._node.lose_answers -= 1
             raise Unsure("lost")
+        if world.lost_answers and world.rng.random() < world.lost_answers:
+            raise Unsure("lost")
         return int(answer["ledger"])
 
 
@@ -112,6 +119,8 @@
         self.deputies = Deputies(node.times, 0.0)
         world = self.world
         self.authority = Authority(node.times.blind_answers_s, world.members, world.now)
+        self._writer = Writer(node.store, stamp)
+        self._units: deque[tuple[dict[str, int], list[Data], Callable[[bool], None]]] = deque()
         self.controller = Controller(
             world.settings, Options(), self, baton, lambda: world.now, lambda: world.now, world.rng
         )
@@ -134,6 +143,26 @@
         self.next_list = world.now
         self.woken_at = world.now
 
+    def _carry_out(self) -> None:
+        """One try of the first unit that waits, as the committer's thread does."""
+        conditions, writes, done = self._units[0]
+        try:
+            self._writer.commit(conditions, writes)
+        except Conflict as conflict:
+            if LEAD in conflict.failed:
+                self.node.step_down()
+                return
+            result = False
+        except (Refused, Unsure):
+            self._later(0.2, self._carry_out)
+            return
+        else:
+            result = True
+        self._units.popleft()
+        self._later(0.002, lambda: done(result))
+        if self._units:
+            self._later(0.003, self._carry_out)
+
     def _count_calls(self, name: str, owner: object, method: str) -> None:
         inner = getattr(owner, method)
 
@@ -170,21 +199,14 @@
         first: bool = False,
     ) -> None:
         self.world.work["commits"] += 1
-
-        def attempt() -> None:
-            try:
-                self.node.store.commit({LEAD: self.stamp, **conditions}, writes)
-            except Conflict as conflict:
-                if LEAD in conflict.failed:
-                    self.node.step_down()
-                else:
-                    self._later(0.002, lambda: done(False))
-            except (Refused, Unsure):
-                self._later(0.2, attempt)
-            else:
-                self._later(0.002, lambda: done(True))
-
-        self._later(0.003, attempt)
+        unit = (conditions, writes, done)
+        if not self._units:
+            self._later(0.003, self._carry_out)
+        if first and self._units:
+            # Behind the one that is being tried.
+            self._units.insert(1, unit)
+        else:
+            self._units.append(unit)
 
     def do(
         self,
@@ -388,7 +410,7 @@
                 self._campaign()
             if self.first_ledger < 0:
                 self.first_ledger = self.store.scan(LEAD)[1]
-        except Refused:
+        except (Refused, Unsure, Conflict):
             pass
         self._ask_peers()
         reign = self.reign
@@ -415,15 +437,25 @@
         reign.authority.synced(asked, world.state.ledger)
 
     def _campaign(self) -> None:
-        if self.store.get(LEAD) is not None:
-            return
         world = self.world
+        lead = self.store.get(LEAD)
+        if lead is not None:
+            if lead.data["member"] == self.member:
+                # A claim of ours that had no answer, or of a process of ours before this one.
+                world.state.end(lead.data["permit"])
+            return
         permit = world.state.lease(2500)[1]["permit"]
         held = self.store.get(BATON)
         baton = (held.data["baton"] if held else 0) + 1
         claim = {"member": self.member, "baton": baton, "permit": permit}
         conditions = {LEAD: 0, BATON: held.stamp if held else 0}
-        stamp = self.store.commit(conditions, [put(LEAD, claim, permit), put(BATON, {"baton": baton})])
+        try:
+            stamp = self.store.commit(conditions, [put(LEAD, claim, permit), put(BATON, {"baton": baton})])
+        except Unsure:
+            lead = self.store.get(LEAD)
+            if lead is None or lead.data["permit"] != permit:
+                raise
+            stamp = lead.stamp
         self.reign = SimReign(self, baton, stamp, permit)
 
     def _ask_peers(self) -> None:
@@ -493,6 +525,8 @@
         self.workers: dict[str, SimWorker] = {}
         self.troubles: dict[str, set[str]] = {}
         self.lose_hires = 0
+        # Shares of transactions that get no answer: those carried out at once, and those carried out late.
+        self.lost_answers = self.late_writes = 0.0
         # A zone that is cut off from everything.
         self.cut: str | None = None
         self.jobs: dict[str, Data] = {}
@@ -511,6 +545,13 @@
         """Whether a cut lies between two zones."""
         return one != other and self.cut in (one, other)
 
+    def carry_out_late(self, body: Data) -> None:
+        """A transaction whose caller has given it up reaches the state service."""
+        if self.state.down:
+            self.after(1.0, lambda: self.carry_out_late(body))
+        else:
+            self.state.commit(body)
+
     # -- time --------------------------------------------------------------------------------------
 
     def after(self, delay: float, work: Callable[[], None]) -> None:
