Machines that don't hear a new leader hold nobody up; users are answered at once

Cause, machines: reports with an older baton were answered for as long as they came, and each answer counted as a lease that old tasks may live on. A machine that does not hear us, or copies of its old reports, so kept the tasks of every older job waiting as long as the cloud could not delete it. They are answered for half a lease (four reports at the least), then turned away until the last lease is proven over.

Cause, answers: a leader counted what it heard of jobs as proof that it may answer, also where its lead was confirmed no more: the next one counts on its answers ending within cancel_s of its beginning. Both are needed now. And who is itself leading is not asked for what it told.

Users' edge: nobody waits for a slot (429 with a time to come back), no try begins that the user can't wait for, and a repeat of what is known to be accepted is read first: failing conditions count as changes at the state service. A connection counts as a worker's once a report on it was answered, not for what is sent there.

deaf_machine.txt fails without the first guard, test_peers.py holds the second.

--- a/src/poppyhold/attempts.py
+++ b/src/poppyhold/attempts.py
@@ -54,6 +54,9 @@
             if machine is None:
                 return None
         machine.endpoint = report.endpoint
+        if report.baton < ctx.term_baton and self._deaf(machine, now):
+            self.probe(machine, now)
+            return None
         machine.last_answer = now
         if not machine.up:
             machine.up = True
@@ -72,6 +75,20 @@
             orders = self._stops(machine, report, now)
         return {"baton": ctx.baton, "orders": orders}
 
+    def _deaf(self, machine: Machine, now: float) -> bool:
+        """Whether a worker from before our term seems not to hear us, so that its lease had better end.
+
+        Its reports arrive, but our baton does not reach it: every answer would be counted as a lease that its
+        tasks may live on, and tasks of all older jobs wait until it is heard or proven empty. Copies of its
+        old reports alone look the same. Once its last lease is over it is answered again.
+        """
+        if machine.name not in self.unheard:
+            return False
+        if machine.met_at is None:
+            machine.met_at = now
+        # A worker waits four seconds for an answer that is lost, and a second to the next try.
+        return now - machine.met_at > max(self._ctx.times.lease_s / 2, 4 * self._ctx.times.report_s)
+
     def _meet(self, report: Report, now: float) -> Machine | None:
         """A machine that we did not know: a late hire, or one that was there before us."""
         ctx = self._ctx
--- a/src/poppyhold/authority.py
+++ b/src/poppyhold/authority.py
@@ -33,10 +33,15 @@
         if 0 <= bound <= self.ledger:
             self._clear_at[member] = max(asked, self._clear_at[member])
 
-    def known_until(self) -> float:
-        """No cancellation that was told up to this moment is unknown to us."""
-        return max(self.synced_at, min(self._clear_at.values()))
+    def known_until(self, confirmed_at: float) -> float:
+        """No cancellation that was told up to this moment is unknown to us.
 
-    def may_answer(self, now: float) -> bool:
+        ``confirmed_at`` is when the lead was last confirmed as ours. The next leader counts on our answers to
+        end within `cancel_s` of its beginning, and the state service may go on to tell of jobs behind that.
+        Controllers that are asked have not begun to lead by then, or we step down on their answer.
+        """
+        return max(min(self.synced_at, confirmed_at), min(self._clear_at.values()))
+
+    def may_answer(self, now: float, confirmed_at: float) -> bool:
         """Whether a worker may be given another lease."""
-        return now <= self.known_until() + self._blind_answers_s
+        return now <= self.known_until(confirmed_at) + self._blind_answers_s
--- a/src/poppyhold/controller.py
+++ b/src/poppyhold/controller.py
@@ -4,7 +4,6 @@
 
 import math
 import random
-from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -24,6 +23,7 @@
 from poppyhold.messages import Build, Listed, Malformed, Report, convert, parse_submission
 from poppyhold.options import Options
 from poppyhold.placement import Quotas
+from poppyhold.recent import Recent
 from poppyhold.settings import Settings
 from poppyhold.store import ACTIVE, Data, Entry, final_writes, put, remove
 from poppyhold.store import DONE as DONE_KEYS
@@ -74,8 +74,7 @@
         self._flush_at = 0.0
         # Jobs that were over before we heard of them. A cancellation may overtake the submission, in our own
         # queue or because another controller told of it: the job must not come into being behind it.
-        self._ended: OrderedDict[str, None] = OrderedDict()
-        self._most_ended = int(settings.settings.machine_limits.ram_mb * 10)
+        self._ended: Recent[bool] = Recent(int(settings.settings.machine_limits.ram_mb * 10))
         # Before this moment no pass is made over what waits.
         self.settle_at = float("-inf")
 
@@ -154,9 +153,7 @@
     def job_removed(self, key: str) -> None:
         """A job is over: cancelled by its user, or done by us."""
         job_id = key.removeprefix(ACTIVE)
-        self._ended[job_id] = None
-        if len(self._ended) > self._most_ended:
-            self._ended.popitem(last=False)
+        self._ended.put(job_id, True)
         job = self.ctx.fleet.jobs.get(job_id)
         if job is None or job.over:
             return
--- a/src/poppyhold/fleet.py
+++ b/src/poppyhold/fleet.py
@@ -180,6 +180,8 @@
     tally: int = -1
     last_report: float = float("-inf")
     last_answer: float = float("-inf")
+    # When it first reported in this term, still with the baton of an earlier one.
+    met_at: float | None = None
     recall_at: float | None = None
     recalled_at: float | None = None
     leaving: bool = False
--- a/src/poppyhold/http.py
+++ b/src/poppyhold/http.py
@@ -27,7 +27,7 @@
 _KEEP_S = 15.0
 # Bounds of what a request's head may hold.
 _MOST_FIELDS, _LONGEST_FIELD = 100, 8192
-# Who asks for this path is a worker: its connection is never closed for another's sake.
+# Who is answered on this path is a worker: its connection is not closed for another's sake.
 _REPORTS = "/hello"
 
 
@@ -104,7 +104,7 @@
         if len(body) < length:
             self.close_connection = True
             return
-        self.server.used(self.connection, self.path == _REPORTS)
+        self.server.used(self.connection, False)
         try:
             result = self.server.route(self.command, self.path, body)
         except Exception:
@@ -142,6 +142,9 @@
 
     def _encoded(self, result: Answer) -> bytes:
         status, body, headers = result
+        if status == 200 and self.path == _REPORTS:
+            # Whatever else is sent there, malformed or to a node that leads nobody, makes nobody a worker.
+            self.server.used(self.connection, True)
         payload = encode(body)
         lines = [
             f"HTTP/1.1 {status} {http.client.responses.get(status, '')}",
--- a/src/poppyhold/service.py
+++ b/src/poppyhold/service.py
@@ -305,7 +305,7 @@
 
     def may_answer(self) -> bool:
         """Whether workers may be given another lease."""
-        return self.authority.may_answer(time.monotonic())
+        return self.authority.may_answer(time.monotonic(), self.confirmed_at())
 
     def counts(self) -> dict[str, tuple[int, int]]:
         """Done and running tasks by job, as of the last tick."""
@@ -371,7 +371,7 @@
 
     def over(self, job_id: str, status: str, chores: int) -> None:
         """See `Edges`."""
-        self._node.users.finals.put(job_id, status, chores)
+        self._node.users.finals.put(job_id, (status, chores))
 
     def peers_hear(self) -> int:
         """See `Edges`."""
@@ -520,10 +520,10 @@
         reign = self._reign
         return reign.deputies if reign is not None else None
 
-    def _count(self, job_id: str) -> tuple[int, int]:
+    def _count(self, job_id: str) -> tuple[int, int] | None:
         reign = self._reign
         counts = reign.counts() if reign is not None else self._peer_counts
-        return counts.get(job_id, (0, 0))
+        return counts.get(job_id)
 
     # -- peers ---------------------------------------------------------------------------------------
 
@@ -572,12 +572,13 @@
                 self.peer_hints.pop(next(iter(self.peer_hints)))
 
     def _on_pong(self, pong: Pong, asked: float) -> None:
-        reign = self._reign
-        if reign is not None:
-            reign.told(pong, asked)
         if pong.leading:
             self.election.saw_baton(pong.baton)
             return
+        # Only who does not lead: what one told that does says nothing of what others tell under its lead.
+        reign = self._reign
+        if reign is not None:
+            reign.told(pong, asked)
         leader = self.election.leader
         # It runs, and leads nothing: the key is that of a process before it.
         if leader is None or leader.member != pong.member or pong.baton:
--- a/src/poppyhold/users.py
+++ b/src/poppyhold/users.py
@@ -5,8 +5,7 @@
 import logging
 import threading
 import time
-from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import msgspec
 
@@ -15,37 +14,19 @@
 from poppyhold.http import Answer, answer
 from poppyhold.messages import JOB_ID, Build, Malformed, Submission, decode, encode, parse_submission
 from poppyhold.placement import Quotas
+from poppyhold.recent import Recent
 from poppyhold.settings import Settings
 from poppyhold.store import ACTIVE, FINAL, Conflict, Gone, Refused, Store, Unsure, final_writes, put
 
 log = logging.getLogger(__name__)
 
 _TRIES = 3
+# Users wait five seconds for an answer: no try begins later than this, as one takes up to two of them.
+_PATIENCE_S = 2.0
 # More cancellations than this would not fit into a message between controllers.
 _MOST_NAMED = 10_000
 
 
-class Finals:
-    """Final states that were told by the state service: they never change, so they may be kept."""
-
-    def __init__(self, most: int) -> None:
-        self._most = most
-        self._known: OrderedDict[str, tuple[str, int]] = OrderedDict()
-        self._lock = threading.Lock()
-
-    def get(self, job_id: str) -> tuple[str, int] | None:
-        """Status and number of tasks, if known."""
-        with self._lock:
-            return self._known.get(job_id)
-
-    def put(self, job_id: str, status: str, chores: int) -> None:
-        """Keep a final state."""
-        with self._lock:
-            self._known[job_id] = (status, chores)
-            while len(self._known) > self._most:
-                self._known.popitem(last=False)
-
-
 class Users:
     """Submissions, questions and cancellations."""
 
@@ -54,27 +35,38 @@
         settings: Settings,
         store: Store,
         builds: Callable[[], dict[str, Build]],
-        counts: Callable[[str], tuple[int, int]],
+        counts: Callable[[str], tuple[int, int] | None],
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        self._settings = settings
+        self._settings, self._clock = settings, clock
         self._store, self._builds, self._counts = store, builds, counts
         self._quotas = Quotas(settings.settings.teams)
-        self.finals = Finals(int(settings.settings.machine_limits.ram_mb * 100))
+        most = int(settings.settings.machine_limits.ram_mb * 100)
+        # Final states that the state service told: they never change. Nothing else that a user is told comes
+        # from what is kept here, so no node can give an older answer than another gave before.
+        self.finals: Recent[tuple[str, int]] = Recent(most)
+        # Jobs that were accepted: only a hint for what to do first with a repeat.
+        self._accepted: Recent[bool] = Recent(most // 10)
         # As many are named as the state service can take within the time that each of them has.
         limits = settings.settings
-        most = int(limits.state.write_rps * limits.workers.cancel_s)
-        self.cancellations = Cancellations(min(most, _MOST_NAMED))
+        self.cancellations = Cancellations(
+            min(int(limits.state.write_rps * limits.workers.cancel_s), _MOST_NAMED)
+        )
         # More at once than this would only wait for the state service's limit.
-        self._slots = threading.BoundedSemaphore(max(4, int(settings.settings.state.rps / 4)))
-        self._patience_s = settings.settings.workers.report_s / 4
+        self._slots = threading.BoundedSemaphore(max(8, int(limits.state.rps / 2)))
 
     def _later(self, status: int = 503) -> Answer:
         seconds = max(1, round(self._settings.settings.workers.report_s))
         return answer(status, {"error": "try again later"}, Retry_After=str(seconds))
 
+    def _tries(self) -> Iterator[int]:
+        """A few tries, none of which begins when its user may be gone before it ends."""
+        began = self._clock()
+        return (number for number in range(_TRIES) if self._clock() - began < _PATIENCE_S)
+
     def _guarded(self, work: Callable[[], Answer]) -> Answer:
-        # What can't be taken is answered at once, with a time to come back.
-        if not self._slots.acquire(timeout=self._patience_s):
+        # What can't be taken is answered at once, with a time to come back: nobody waits for a slot.
+        if not self._slots.acquire(blocking=False):
             return self._later(429)
         try:
             return work()
@@ -104,21 +96,27 @@
         data = {"spec": msgspec.to_builtins(spec), "at": time.time()}
         if len(encode(data)) > self._settings.settings.state.value_kb * 1024 * 0.8:
             return answer(400, {"error": "too long"})
-        for _ in range(_TRIES):
-            if self.finals.get(spec.nameId) is None:
-                try:
-                    self._store.commit(
-                        {ACTIVE + spec.nameId: 0, FINAL + spec.nameId: 0}, [put(ACTIVE + spec.nameId, data)]
-                    )
-                    return answer(201, {"nameId": spec.nameId, "status": "pending"})
-                except Unsure:
-                    # Perhaps it went through: the repeat will tell.
-                    continue
-                except Conflict:
-                    pass
-            known = self._look_up(spec.nameId)
-            if known is not None:
-                return answer(200, known)
+        # A condition that fails counts against the limit of changes like a change: users that repeat what is
+        # known to be accepted must not eat up what decisions need.
+        repeat = spec.nameId in self._accepted or self._counts(spec.nameId) is not None
+        for _ in self._tries():
+            if repeat or self.finals.get(spec.nameId) is not None:
+                known = self._look_up(spec.nameId)
+                if known is not None:
+                    return answer(200, known)
+            try:
+                self._store.commit(
+                    {ACTIVE + spec.nameId: 0, FINAL + spec.nameId: 0}, [put(ACTIVE + spec.nameId, data)]
+                )
+            except Unsure:
+                # Perhaps it went through: the repeat will tell.
+                continue
+            except Conflict:
+                # It is there, be it by our own try before: what it is now is what its user is told.
+                repeat = True
+            else:
+                self._accepted.put(spec.nameId, True)
+                return answer(201, {"nameId": spec.nameId, "status": "pending"})
         return self._later()
 
     def _never(self, spec: Submission, builds: dict[str, Build]) -> str | None:
@@ -138,7 +136,8 @@
         if final is None:
             # In this order: a job moves from the active ones to the final ones, and never back.
             if self._store.get(ACTIVE + job_id) is not None:
-                done, running = self._counts(job_id)
+                self._accepted.put(job_id, True)
+                done, running = self._counts(job_id) or (0, 0)
                 status = "running" if running else "pending"
                 return {"nameId": job_id, "status": status, "done": done, "running": running}
             entry = self._store.get(FINAL + job_id)
@@ -153,7 +152,7 @@
         # Before anybody is told, here or from what is kept: a leader that asks must be told of it first.
         if final[0] == "cancelled":
             self.cancellations.told(job_id, revision)
-        self.finals.put(job_id, *final)
+        self.finals.put(job_id, final)
 
     def poll(self, job_id: str) -> Answer:
         """GET /api/jobs/{id}."""
@@ -172,7 +171,7 @@
         return self._guarded(lambda: self._abort(job_id))
 
     def _abort(self, job_id: str) -> Answer:
-        for _ in range(_TRIES):
+        for _ in self._tries():
             final = self.finals.get(job_id)
             if final is not None:
                 return answer(200, {"nameId": job_id, "status": final[0]})
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -90,16 +90,18 @@
     authority = Authority(20.0, ["a", "b"], began_at=0.0)
     authority.synced(1.0, 10)
     authority.learned("a", 30.0, 10)
-    assert authority.known_until() == 1.0
+    assert authority.known_until(50.0) == 1.0
     authority.learned("b", 25.0, 9)
-    assert authority.known_until() == 25.0
+    assert authority.known_until(50.0) == 25.0
     # It told something that was not acted on, or can't know: the moment stays where it was.
     authority.learned("b", 40.0, 11)
     authority.learned("b", 41.0, -1)
-    assert authority.may_answer(45.0)
-    assert not authority.may_answer(45.1)
+    assert authority.may_answer(45.0, 50.0)
+    assert not authority.may_answer(45.1, 50.0)
     authority.synced(42.0, 11)
-    assert authority.may_answer(62.0)
+    assert authority.may_answer(62.0, 50.0)
+    # Who still hears of jobs but not that it leads has perhaps been followed by another.
+    assert not authority.may_answer(62.0, 41.0)
 
 
 class Refusing(OutsideStandIns):
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -259,7 +259,7 @@
 
 def _learned_all(self: Authority, member: str, asked: float, bound: int) -> None:
     """Whatever a controller told, it is taken for known."""
-    self.synced(asked, self.ledger)
+    self._clear_at[member] = asked
 
 
 def _count_nothing(self: Hiring, name: str, data: object) -> None:
@@ -283,6 +283,7 @@
     ("zone_cut", Deputy, "may_answer", _never),
     ("zone_cut_long", Deputies, "until", _long_ago),
     ("cancelled_before_the_cut", Controller, "shunned", _nobody),
+    ("deaf_machine", Attempts, "_deaf", _never),
     ("gap", Cancellations, "named", _told_nothing),
     ("gap", Authority, "learned", _never),
     ("gap_unnamed", Authority, "learned", _learned_all),
--- a/tests/world.py
+++ b/tests/world.py
@@ -297,7 +297,7 @@
         self.node.step_down()
 
     def over(self, job_id: str, status: str, chores: int) -> None:
-        self.node.users.finals.put(job_id, status, chores)
+        self.node.users.finals.put(job_id, (status, chores))
 
     def peers_hear(self) -> int:
         since = self.world.now - self.world.settings.settings.workers.lease_s / 2
@@ -362,10 +362,12 @@
         self.passed_on: dict[str, float] = {}
         self.deputy = Deputy(self.times, 0.0, lambda: self.world.now, lambda: self.world.now)
         builds = {b["name"]: convert(b, Build) for b in self.world.cloud.builds}
-        self.users = Users(self.world.settings, self.store, lambda: builds, self._count)
+        self.users = Users(
+            self.world.settings, self.store, lambda: builds, self._count, lambda: self.world.now
+        )
 
-    def _count(self, job_id: str) -> tuple[int, int]:
-        return self.reign.controller.counts().get(job_id, (0, 0)) if self.reign else (0, 0)
+    def _count(self, job_id: str) -> tuple[int, int] | None:
+        return self.reign.controller.counts().get(job_id) if self.reign else None
 
     def crash(self, back_s: float) -> None:
         """The process ends without a word."""
@@ -389,7 +391,7 @@
             self.passed_on[body["box"]] = self.world.now
             leader = self.world.leader()
             return 421, {"foreman": leader.member} if leader is not None else {}
-        if not reign.authority.may_answer(self.world.now):
+        if not reign.authority.may_answer(self.world.now, reign.confirmed):
             return 503, {}
         answer = reign.controller.hello(parse_report(body))
         reign.settle()
