Copies of old reports are no workers that turned away from the leader

Cause: controllers told the leader how many workers had turned to them, and copies of old reports counted. They name the workers now, with session and tally, and the leader counts those of which it has heard nothing newer; who has led for less than a lease does not resign for it.

--- a/src/poppyhold/context.py
+++ b/src/poppyhold/context.py
@@ -17,6 +17,9 @@
 # Machine -> its images and their sizes, least recently used first.
 Hints = dict[str, tuple[tuple[str, float], ...]]
 
+# A machine, and the session and tally of a report that reached a controller which does not lead.
+Passed = tuple[str, int, int]
+
 # Outcomes of a request to another system.
 OK, REFUSED, UNSENT, UNSURE = "ok", "refused", "unsent", "unsure"
 
@@ -56,8 +59,8 @@
     def over(self, job_id: str, status: str, chores: int) -> None:
         """The final state of a job is durable."""
 
-    def peers_hear(self) -> int:
-        """How many workers have turned to another controller lately."""
+    def passed_on(self) -> list[list[Passed]]:
+        """Workers that have turned to another controller lately, for each of those."""
 
     def may_start(self) -> bool:
         """Whether our leadership was confirmed lately enough to start tasks."""
--- a/src/poppyhold/hiring.py
+++ b/src/poppyhold/hiring.py
@@ -231,7 +231,7 @@
                 self._attempts.expire(machine, now)
             if len(machine.errors) > 1 and self._at_fault(machine):
                 machine.leaving = True
-        if len(silent) * 2 >= up and len(silent) > 1 and ctx.edges.peers_hear() > 2 * heard:
+        if len(silent) * 2 >= up and len(silent) > 1 and self._lost_to_others(now) > 2 * heard:
             # They try the other controllers: it is our own way to them that is broken. Where a zone is cut
             # off, half of all are silent too, and those that came to us passed the others on their way: with
             # each new leader resigning for that, nothing was started for the length of the cut.
@@ -259,6 +259,23 @@
         self._condemned.clear()
         self._delete()
 
+    def _lost_to_others(self, now: float) -> int:
+        """How many workers have turned to another controller since they reported here last.
+
+        A copy of an old report is none that turned away. Who has just begun to lead has no reports to compare
+        with, and gives them the time to come.
+        """
+        if now - self._attempts.began_at < self._ctx.times.lease_s:
+            return 0
+        machines = self._ctx.fleet.machines
+
+        def newer(box: str, shift: int, tally: int) -> bool:
+            machine = machines.get(box)
+            return machine is not None and (shift, tally) > (machine.shift, machine.tally)
+
+        passed_on = self._ctx.edges.passed_on()
+        return max((sum(newer(*passed) for passed in there) for there in passed_on), default=0)
+
     def _condemn(self, machine: Machine, why: str) -> None:
         """Delete a machine: from now on nothing starts on it, whether or not an answer comes soon."""
         if not machine.deleting:
--- a/src/poppyhold/peers.py
+++ b/src/poppyhold/peers.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from poppyhold.cancellations import Cancellation
-from poppyhold.context import Hints
+from poppyhold.context import Hints, Passed
 from poppyhold.deputy import Deputies, Trust
 from poppyhold.settings import Known, Settings, split_address
 
@@ -59,6 +59,8 @@
     # others that it told. None from a version that names none: then `told` bounds all of them.
     cancelled: list[Cancellation] = []
     unnamed: int | None = None
+    # The workers that turned to it lately: the leader knows whether it has heard newer reports of them.
+    passed: list[Passed] = []
 
     @property
     def bound(self) -> int:
@@ -101,7 +103,7 @@
     # Moments of its last answer, and of its last word from the state service.
     heard_at: float
     contact_at: float
-    workers: int
+    passed: list[Passed]
 
 
 class Peers:
@@ -219,4 +221,4 @@
 
     def _note(self, member: str, pong: Pong, asked: float) -> None:
         contact_at = asked - pong.state_age_s
-        self.views[member] = PeerView(time.monotonic(), contact_at, pong.workers)
+        self.views[member] = PeerView(time.monotonic(), contact_at, pong.passed)
--- a/src/poppyhold/service.py
+++ b/src/poppyhold/service.py
@@ -15,7 +15,7 @@
 from poppyhold.authority import Authority
 from poppyhold.cancellations import Cancellation
 from poppyhold.cloud import CloudClient, CloudThread
-from poppyhold.context import Data, Hints, Times
+from poppyhold.context import Data, Hints, Passed, Times
 from poppyhold.controller import Controller, Snapshot
 from poppyhold.deputy import Deputies, Deputy, Trust
 from poppyhold.election import Election, Leader, Term
@@ -373,9 +373,9 @@
         """See `Edges`."""
         self._node.users.finals.put(job_id, (status, chores))
 
-    def peers_hear(self) -> int:
+    def passed_on(self) -> list[list[Passed]]:
         """See `Edges`."""
-        return max((view.workers for view in self._node.peers.views.values()), default=0)
+        return [view.passed for view in self._node.peers.views.values()]
 
     def may_start(self) -> bool:
         """See `Edges`."""
@@ -411,7 +411,7 @@
         self._peer_counts: dict[str, tuple[int, int]] = {}
         self.peer_hints: Hints = {}
         self.users = Users(settings, self.store, lambda: self.builds, self._count)
-        self._passed_on: dict[str, float] = {}
+        self._passed_on: dict[str, tuple[float, Passed]] = {}
         self._deposed_at = float("-inf")
         self._idle_leader: Leader | None = None
         self._reign: Reign | None = None
@@ -530,7 +530,7 @@
     def _describe(self) -> Ping:
         term = self.election.term
         age = time.monotonic() - max(self.store.contact_at, self._started_at)
-        workers = self._workers_passed_on()
+        workers = len(self._workers_passed_on())
         reign = self._reign
         trust = reign.trust if reign is not None and reign.alive else None
         known = reign.authority.ledger if reign is not None else -1
@@ -550,11 +550,14 @@
         us = self._describe()
         named: list[Cancellation] = []
         unnamed: int | None = None
+        passed = self._workers_passed_on() if ping.leading else []
         if ping.leading and ping.known >= 0:
             self.users.cancellations.known(ping.known)
             # Read behind `us`: what is told in between is named as well.
             named, unnamed = self.cancellations_told()
-        return Pong(us.member, us.baton, us.leading, us.state_age_s, us.told, us.workers, named, unnamed)
+        return Pong(
+            us.member, us.baton, us.leading, us.state_age_s, us.told, us.workers, named, unnamed, passed
+        )
 
     def _on_ping(self, ping: Ping) -> None:
         if ping.leading:
@@ -600,7 +603,7 @@
         now = time.monotonic()
         lease_s = self.settings.settings.workers.lease_s
         quiet = now - self._deposed_at
-        if quiet > 6 * lease_s or (quiet > lease_s and self._workers_passed_on() > 1):
+        if quiet > 6 * lease_s or (quiet > lease_s and len(self._workers_passed_on()) > 1):
             self._deposed_at = now
             self.election.depose(leader)
 
@@ -623,14 +626,14 @@
                 return self.users.abort(job_id) if method == "POST" else self._wrong("POST")
         return answer(404, {"error": "no such path"})
 
-    def _workers_passed_on(self) -> int:
+    def _workers_passed_on(self) -> list[Passed]:
         """Workers that turned to us in the last moments, though they follow a leader."""
         recent = time.monotonic() - self.settings.settings.workers.lease_s / 2
-        return sum(1 for at in list(self._passed_on.values()) if at > recent)
+        return [passed for at, passed in list(self._passed_on.values()) if at > recent]
 
-    def _pass_on(self, box: str) -> None:
-        self._passed_on.pop(box, None)
-        self._passed_on[box] = time.monotonic()
+    def _pass_on(self, report: Report) -> None:
+        self._passed_on.pop(report.box, None)
+        self._passed_on[report.box] = time.monotonic(), (report.box, report.shift, report.tally)
         if len(self._passed_on) > self.settings.settings.machine_limits.max_sockets:
             self._passed_on.pop(next(iter(self._passed_on)), None)
 
@@ -662,7 +665,7 @@
             if deputed is not None:
                 return answer(200, {"baton": deputed, "orders": []})
             # A new machine's worker begins with any node; one that has a baton has left its leader.
-            self._pass_on(report.box)
+            self._pass_on(report)
         leader = self.election.await_leader(self._naming_s)
         # The election may have named us meanwhile.
         return self._answer_report(report) or self._elsewhere(leader)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -19,6 +19,7 @@
 from poppyhold.hiring import Hiring
 from poppyhold.placement import Quotas
 from poppyhold.settings import Team
+from poppyhold.store import BATON
 from world import World, submission
 
 FOLDER = Path(__file__).parent / "scenarios"
@@ -239,6 +240,9 @@
             name, ratio, each = words
             count, of = world.work[name], world.work[each]
             self._expect(count <= float(ratio) * of, f"{count} {name} for {of} {each}")
+        elif what == "terms":
+            held = world.state.keys[BATON][0]["baton"]
+            self._expect(held <= int(words[0]), f"{held} terms")
         elif what == "settled":
             for text in world.settled():
                 self._expect(False, text)
@@ -291,6 +295,10 @@
     return []
 
 
+def _all_of_them(self: Hiring, now: float) -> int:
+    return max(map(len, self._ctx.edges.passed_on()), default=0)
+
+
 def _no_room(*_: object) -> tuple[float, float, float]:
     return NOTHING
 
@@ -326,6 +334,7 @@
     ("zone_cut_long", Deputies, "until", _long_ago),
     ("cancelled_before_the_cut", Controller, "shunned", _nobody),
     ("limit_and_cancelled", Admission, "_unknown_use", _no_room),
+    ("mute_machines_and_copies", Hiring, "_lost_to_others", _all_of_them),
     ("deaf_machine", Attempts, "_deaf", _never),
     ("gap", Cancellations, "named", _told_nothing),
     ("gap", Authority, "learned", _never),
--- a/tests/world.py
+++ b/tests/world.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from poppyhold.authority import Authority
-from poppyhold.context import OK, REFUSED, UNSENT, UNSURE, Times
+from poppyhold.context import OK, REFUSED, UNSENT, UNSURE, Passed, Times
 from poppyhold.controller import Controller, Snapshot
 from poppyhold.deputy import Deputies, Deputy, Trust
 from poppyhold.http import Answer
@@ -301,19 +301,16 @@
     def over(self, job_id: str, status: str, chores: int) -> None:
         self.node.users.finals.put(job_id, (status, chores))
 
-    def peers_hear(self) -> int:
+    def passed_on(self) -> list[list[Passed]]:
         since = self.world.now - self.world.settings.settings.workers.lease_s / 2
-        others = [
-            node
+        return [
+            [passed for at, passed in node.passed_on.values() if at > since]
             for node in self.world.nodes
             if node is not self.node
             and node.alive
-            and not node.cut_peers
+            and not (node.cut_peers or self.node.cut_peers)
             and not self.world.severed(node.zone, self.node.zone)
         ]
-        if self.node.cut_peers:
-            return 0
-        return max((sum(1 for at in n.passed_on.values() if at > since) for n in others), default=0)
 
     def may_start(self) -> bool:
         now = self.world.now
@@ -361,7 +358,7 @@
         self.reign = None
         # First revision that this process saw.
         self.first_ledger = -1
-        self.passed_on: dict[str, float] = {}
+        self.passed_on: dict[str, tuple[float, Passed]] = {}
         self.deputy = Deputy(self.times, 0.0, lambda: self.world.now, lambda: self.world.now)
         builds = {b["name"]: convert(b, Build) for b in self.world.cloud.builds}
         self.users = Users(
@@ -390,7 +387,7 @@
             deputed = self.deputy.may_answer(parse_report(body), self.store.contact_at, 0)
             if deputed is not None:
                 return 200, {"baton": deputed, "orders": []}
-            self.passed_on[body["box"]] = self.world.now
+            self.passed_on[body["box"]] = self.world.now, (body["box"], body["shift"], body["tally"])
             leader = self.world.leader()
             return 421, {"foreman": leader.member} if leader is not None else {}
         if not reign.authority.may_answer(self.world.now, reign.confirmed):
@@ -656,11 +653,6 @@
         worker.busy_until = self.now + 0.5
         node = self.nodes[worker.node]
         body, sent_at, shift = worker.report(), self.now, worker.shift
-        if self.copied and self.rng.random() < self.copied:
-            if self.keep_copies:
-                self._kept.append(body)
-            else:
-                self.after(self.rng.uniform(1.0, 25.0), lambda: self._copy(body))
         if not node.alive or node.cut_workers or "silent" in how:
             worker.node = (worker.node + 1) % 3
             worker.busy_until = self.now + 1.0
@@ -675,6 +667,11 @@
         def arrive() -> None:
             if not node.alive:
                 return
+            if self.copied and self.rng.random() < self.copied:
+                if self.keep_copies:
+                    self._kept.append(body)
+                else:
+                    self.after(self.rng.uniform(1.0, 25.0), lambda: self._copy(body))
             status, answer = node.hello(body)
             if "deaf" in how or "hold" in how:
                 worker.busy_until = self.now + 4.0
