Machines that the cloud lists no more are deleted once again, which proves them gone

Cause: a leader that the state service refuses returns idle machines for as long as its lead is fresh, and can't remove their records. What has been missing from the cloud's lists for three lags is deleted; that it is missing still proves nothing.

--- a/src/poppyhold/fleet.py
+++ b/src/poppyhold/fleet.py
@@ -179,6 +179,8 @@
     shift: int = 0
     tally: int = -1
     last_report: float = float("-inf")
+    # When the cloud last listed it.
+    listed_at: float = float("-inf")
     last_answer: float = float("-inf")
     # When it first reported in this term, still with the baton of an earlier one.
     met_at: float | None = None
--- a/src/poppyhold/hiring.py
+++ b/src/poppyhold/hiring.py
@@ -168,6 +168,8 @@
         for box in boxes:
             present.add(box.nameId)
             machine = ctx.fleet.machines.get(box.nameId)
+            if machine is not None:
+                machine.listed_at = now
             if machine is None:
                 build = ctx.builds.get(box.build)
                 if build is None or box.nameId in ctx.dead:
@@ -182,15 +184,18 @@
             elif not machine.up:
                 machine.since = min(machine.since, now - box.heldS)
         for machine in list(ctx.fleet.machines.values()):
-            # Hired, never up, and not listed though it should be by now: most likely an earlier leader
-            # returned it. It holds no tasks; if it does come up after all, its reports bring it back.
-            if (
-                not machine.up
-                and not machine.deleting
-                and machine.name not in present
-                and now - machine.since > 3 * lag
-            ):
+            seen_at = max(machine.since, machine.listed_at, machine.last_report)
+            if machine.name in present or machine.deleting or now - seen_at <= 3 * lag:
+                continue
+            if not machine.up:
+                # Hired, never up, and not listed though it should be by now: most likely an earlier leader
+                # returned it. It holds no tasks; if it does come up after all, its reports bring it back.
                 ctx.fleet.machines.pop(machine.name)
+            else:
+                # Most likely an earlier leader returned it and could not say so. That it is missing proves
+                # nothing; that it is deleted does. Until then what it may hold is charged to every team, and
+                # tasks of older jobs wait, up to the certain end of its last lease, with each leader anew.
+                self._condemn(machine, "not listed")
 
     # -- machines that must go -----------------------------------------------------------------------
 
