Answers of other controllers than the one that was asked prove nothing

A pong that names another member is dropped with its connection: what a leader may do depends on who answered. Foreign and malformed answers end no thread (test_peers.py).

--- a/src/poppyhold/peers.py
+++ b/src/poppyhold/peers.py
@@ -211,8 +211,9 @@
                 deputies.telling(known.member, asked)
             send(connection, msgspec.structs.replace(self._describe(), counts=changed, images=images))
             message = receive(connection)
-            if not isinstance(message, Pong):
-                raise ValueError("not a pong")
+            if not isinstance(message, Pong) or message.member != known.member:
+                # What a leader may do depends on who answered.
+                raise ValueError(f"not a pong of {known.member}")
             self._note(known.member, message, asked)
             if deputies is not None:
                 deputies.answered(known.member, asked)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -14,9 +14,9 @@
 from poppyhold.http import Answer
 from poppyhold.messages import encode
 from poppyhold.options import Options
-from poppyhold.peers import Ping, Pong, receive, send
+from poppyhold.peers import Peers, Ping, Pong, receive, send
 from poppyhold.service import Node
-from poppyhold.settings import Outside, Team
+from poppyhold.settings import Known, Outside, Team
 from test_smoke import Outside as OutsideStandIns
 from test_smoke import eventually, free_port
 from world import World, submission
@@ -107,6 +107,63 @@
     assert not authority.may_answer(62.0, 41.0)
 
 
+class Impostor:
+    """A controller's address at which something else answers pings."""
+
+    def __init__(self, *answers: Any) -> None:
+        self._answers = answers
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.asked = 0
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self) -> None:
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            with connection:
+                try:
+                    receive(connection)
+                    body = msgspec.msgpack.encode(self._answers[self.asked % len(self._answers)])
+                    self.asked += 1
+                    connection.sendall(len(body).to_bytes(4, "big") + body)
+                    connection.recv(1)
+                except (OSError, ValueError):
+                    continue
+
+
+def test_foreign_answers_prove_nothing_and_end_no_thread() -> None:
+    impostor = Impostor(["pong", "hive-9", *PONG[2:]], {"a": 1}, ["pong", "hive-1"], PING, PONG)
+    settings = msgspec.structs.replace(
+        World(1, 10.0, 30.0, [Team("alpha")]).settings,
+        back=f"127.0.0.1:{free_port()}",
+        known=[Known("hive-1", "a", f"127.0.0.1:{impostor.listener.getsockname()[1]}")],
+    )
+    taken: list[Pong] = []
+    describe = Ping("hive-0", 0, False, 0.0, -1, 0)
+    pong = Pong("hive-0", 0, False, 0.0, -1, 0)
+    peers = Peers(
+        settings,
+        lambda: describe,
+        dict,
+        dict,
+        lambda ping: pong,
+        lambda pong, asked: taken.append(pong),
+        lambda member: None,
+        lambda: None,
+    )
+    peers.start()
+    try:
+        # Only the last of them is an answer of hive-1; it is asked again and again behind the others.
+        eventually(lambda: len(taken) == 2)
+        assert impostor.asked >= 2 * 5
+        assert {pong.member for pong in taken} == {"hive-1"}
+    finally:
+        peers.stop()
+        impostor.listener.close()
+
+
 class Refusing(OutsideStandIns):
     """The state service can refuse watches alone, those that are open too, or everything."""
 
