--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -167,11 +167,19 @@
     assert world.work["changes"] <= before + 1
 
 
+class NoSlot:
+    """Every slot is taken, and nobody may wait for one."""
+
+    def acquire(self, blocking: bool = True, timeout: float | None = None) -> bool:
+        assert not blocking and timeout is None, "a user is kept waiting"
+        return False
+
+
 def test_what_cannot_be_taken_is_answered_at_once() -> None:
     world, _ = leading_world()
     users: Any = world.nodes[0].users
-    while users._slots.acquire(blocking=False):
-        pass
-    for answer in (users.poll("job-000001"), users.abort("job-000001")):
+    users._slots = NoSlot()
+    body = encode(wire(world.jobs["job-000001"]))
+    for answer in (users.poll("job-000001"), users.abort("job-000001"), users.submit(body)):
         assert answer[0] == 429
         assert int(answer[2]["Retry-After"]) >= 1
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -260,15 +260,28 @@
     return text.split(",") if "," in text else text
 
 
+def variants(path: Path) -> list[tuple[str, str]]:
+    """The texts that a file stands for, with their names: one for each value of a word that it varies."""
+    text = path.read_text()
+    words = next((line.split() for line in text.splitlines() if line.startswith("each ")), None)
+    if words is None:
+        return [(path.stem, text)]
+    lines = [line for line in text.splitlines() if not line.startswith("each ")]
+    return [(f"{path.stem}-{value}", "\n".join(lines).replace(words[1], value)) for value in words[2:]]
+
+
 # Large worlds are played once: they take longer than all the others together.
 PLAYS = [
-    (path, seed) for path in SCENARIOS for seed in ((1,) if path.stem == "thousand_machines" else (1, 2))
+    pytest.param(text, seed, id=f"{name}-{seed}")
+    for path in SCENARIOS
+    for name, text in variants(path)
+    for seed in ((1,) if name == "thousand_machines" else (1, 2))
 ]
 
 
-@pytest.mark.parametrize(("path", "seed"), PLAYS, ids=lambda value: getattr(value, "stem", str(value)))
-def test_scenario(path: Path, seed: int) -> None:
-    scenario = Scenario(path.read_text(), seed)
+@pytest.mark.parametrize(("text", "seed"), PLAYS)
+def test_scenario(text: str, seed: int) -> None:
+    scenario = Scenario(text, seed)
     scenario.play()
     assert scenario.world.broken == []
     assert scenario.failures == []
