--- a/src/poppyhold/store.py
+++ b/src/poppyhold/store.py
@@ -298,6 +298,7 @@
         # Two thirds of the writes: the rest is for the users' nodes and the election.
         self._gap_s = 1.5 / limits.write_rps
         self._pause_s = 2 / limits.rps
+        self._longest_pause_s = max(self._pause_s, settings.settings.workers.report_s / 8)
         # Those that somebody waits for, and the rest; each in order, lest the oldest starve in a burst.
         self._urgent: deque[Unit] = deque()
         self._queue: deque[Unit] = deque()
@@ -360,6 +361,7 @@
         for unit in units:
             conditions.update(unit.conditions)
             writes += unit.writes
+        pause_s = self._pause_s
         while units and not self._stopped:
             try:
                 self._writer.commit(conditions, writes)
@@ -376,7 +378,10 @@
                 # Every unit may be repeated: its writes are the same each time, and its conditions
                 # fail if the first try went through after all, which the unit's owner looks into.
                 log.debug("commit: %s", error)
-                time.sleep(self._pause_s)
+                # At the same pace all through an outage, this alone took half of the requests that the state
+                # service allows, from renewals and users as well.
+                time.sleep(pause_s)
+                pause_s = min(2 * pause_s, self._longest_pause_s)
                 continue
             else:
                 for unit in units:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -2,13 +2,30 @@
 
 from __future__ import annotations
 
+import threading
+import time
 from collections import deque
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
-from poppyhold.store import BATON, LEAD, PLAN, Conflict, Entry, Refused, Store, Unsure, Writer, put
+from poppyhold.store import (
+    BATON,
+    LEAD,
+    PLAN,
+    Committer,
+    Conflict,
+    Entry,
+    Refused,
+    Store,
+    Unit,
+    Unsure,
+    Writer,
+    put,
+)
 from standins import StateStandIn
+from world import World
 
 Data = dict[str, Any]
 
@@ -89,6 +106,24 @@
     assert store.state.keys[key][0] == {"v": 4}
 
 
+def test_refused_transactions_are_tried_ever_more_slowly(monkeypatch: pytest.MonkeyPatch) -> None:
+    settings = World(1, 10.0, 30.0, []).settings
+    pauses: list[float] = []
+    clock = SimpleNamespace(monotonic=time.monotonic, sleep=pauses.append)
+    monkeypatch.setattr("poppyhold.store.time", clock)
+    store = Fickle()
+    stamp = store.commit({}, [put(LEAD, {"member": "hive-0"})])
+    store.fates.extend(["refused"] * 12)
+    done = threading.Event()
+    committer = Committer(store, settings, stamp, lambda: None)
+    committer.submit(Unit({}, [put(BATON, {"v": 1})], lambda result: done.set()))
+    assert done.wait(60.0)
+    committer.stop()
+    assert len(pauses) == 12
+    assert pauses[1] == 2 * pauses[0]
+    assert pauses[-1] == settings.settings.workers.report_s / 8
+
+
 def test_a_new_leader_voids_what_the_old_one_left() -> None:
     store, old = leader("late")
     with pytest.raises(Unsure):
