--- a/tests/mix.py
+++ b/tests/mix.py
@@ -158,7 +158,7 @@
         for kind, number in (("ordinary", 12), ("spot", 4))
     ]
     lines += [f"at {at:.2f} {text}" for at, text in sorted(_events(rng, cancel_s))]
-    return "\n".join([*lines, f"at {END_S} expect settled", ""])
+    return "\n".join([*lines, f"at {CALM_S + 10} calm", f"at {END_S} expect settled", ""])
 
 
 def main() -> int:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -254,13 +254,14 @@
             chore["cause"] = "no_such"
             return
         chore["job"] = job
-        if not self._fits(job):
+        if not self.fits(job):
             chore["cause"] = "no_room"
             return
         fetch = 0.0 if job["bundle"] in self.images else job["sizeGb"] / self.build["pullGbPerS"]
         chore.update(status="pulling", until=now + fetch)
 
-    def _fits(self, job: Data) -> bool:
+    def fits(self, job: Data) -> bool:
+        """Whether there is room for one more task of a job."""
         for amount in ("cpus", "accelerators", "memGb"):
             used = sum(
                 c["job"][amount] for c in self.chores.values() if c["status"] != "ended" and "job" in c
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -213,6 +213,10 @@
         for number in range(int(float(seconds))):
             self.world.after(float(number), self.world.ask_oddly)
 
+    def do_calm(self) -> None:
+        """All troubles are over."""
+        self.world.calm_at = self.world.now
+
     # -- what must be --------------------------------------------------------------------------------
 
     def _expect(self, holds: bool, text: str) -> None:
--- a/tests/world.py
+++ b/tests/world.py
@@ -537,6 +537,10 @@
         self.finished: set[str] = set()
         self.starts: dict[str, int] = {}
         self.broken: list[str] = []
+        # When all troubles were over; from then on the rules for jobs that are left alone hold as well.
+        self.calm_at = float("inf")
+        self.answered_at: dict[str, float] = {}
+        self.waiting_since: dict[str, float] = {}
         # Calls of the leaders' dearer steps, by name.
         self.work: Counter[str] = Counter()
         self.nodes = [SimNode(self, member) for member in self.members]
@@ -800,6 +804,7 @@
             if result[0] == 404:
                 self.broken.append(f"forgotten: {job_id}")
             elif result[0] == 200:
+                self.answered_at[job_id] = self.now
                 self._tell(job_id, result[1]["status"])
 
     def _tell(self, job_id: str, status: str) -> None:
@@ -866,7 +871,38 @@
             self.broken.append(f"wrong_place: {task} on {worker.name}")
         self._check()
 
+    def _check_left_alone(self) -> None:
+        """Once troubles are over: no question goes unanswered for 75 s, no job waits 90 s beside room."""
+        used: Counter[str] = Counter()
+        begun = set()
+        for _, task in self._running():
+            job_id = task.rpartition("/")[0]
+            used[self.jobs[job_id]["crew"]] += self.jobs[job_id]["accelerators"]
+            begun.add(job_id)
+        limits = {team.name: team.gpus_max or float("inf") for team in self.settings.settings.teams}
+        for job_id, told in self.told.items():
+            job = self.jobs[job_id]
+            if self.now - max(self.answered_at.get(job_id, 0.0), self.calm_at) > 75.0:
+                self.broken.append(f"forgotten: {job_id} at {self.now:.1f}")
+            waits = told == "pending" and job_id not in begun and not job.get("mistake")
+            under = used[job["crew"]] + job["accelerators"] <= limits[job["crew"]]
+            if not (waits and under and any(self._has_room(worker, job) for worker in self.workers.values())):
+                self.waiting_since.pop(job_id, None)
+            elif self.now - self.waiting_since.setdefault(job_id, self.now) > 90.0:
+                self.broken.append(f"left_waiting: {job_id} at {self.now:.1f}")
+
+    @staticmethod
+    def _has_room(worker: SimWorker, job: Data) -> bool:
+        allowed = (
+            (job["builds"] is None or worker.build["name"] in job["builds"])
+            and (job["paddock"] is None or worker.zone == job["paddock"])
+            and (job["loaners"] or not worker.spot)
+        )
+        return allowed and worker.recall_s is None and not worker.faulty and worker.fits(job)
+
     def _check(self) -> None:
+        if self.now > self.calm_at:
+            self._check_left_alone()
         cancel_s = self.settings.settings.workers.cancel_s
         used: dict[str, float] = {}
         for _, task in self._running():
