--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -130,6 +130,10 @@
         """Transactions are carried out at once and get no answer."""
         self._share_for_a_while("lost_answers", share, seconds)
 
+    def do_slow_links(self, delay: str, word: str, seconds: str) -> None:
+        """Messages between controllers and workers take so much longer, each way."""
+        self._share_for_a_while("link_s", delay, seconds)
+
     def _share_for_a_while(self, name: str, share: str, seconds: str) -> None:
         setattr(self.world, name, float(share))
         self.world.after(float(seconds), lambda: setattr(self.world, name, 0.0))
--- a/tests/world.py
+++ b/tests/world.py
@@ -223,7 +223,7 @@
 
         def answered(outcome: str, report: Data | None) -> None:
             parsed = parse_report(report) if report is not None else None
-            self._later(0.001, lambda: done(outcome, parsed))
+            self._later(0.001 + world.link_s, lambda: done(outcome, parsed))
 
         if worker is None or worker.gone or self.node.cut_workers:
             self._later(1.5, lambda: done(UNSENT, None))
@@ -255,7 +255,7 @@
                 return
             answered(OK if status == 200 else REFUSED, report)
 
-        world.after(0.001, deliver)
+        world.after(0.001 + world.link_s, deliver)
 
     def hire(self, body: Data, done: Callable[[str, list[str]], None]) -> None:
         def send() -> None:
@@ -529,6 +529,8 @@
         self.lose_hires = 0
         # Shares of transactions that get no answer: those carried out at once, and those carried out late.
         self.lost_answers = self.late_writes = 0.0
+        # What messages between controllers and workers take beyond the usual, each way.
+        self.link_s = 0.0
         # A zone that is cut off from everything.
         self.cut: str | None = None
         self.jobs: dict[str, Data] = {}
@@ -654,7 +656,7 @@
 
     def _report(self, worker: SimWorker, how: set[str]) -> None:
         worker.next_report = self.now + self.rng.uniform(0.75, 1.25)
-        worker.busy_until = self.now + 0.5
+        worker.busy_until = self.now + max(0.5, 2 * self.link_s)
         node = self.nodes[worker.node]
         body, sent_at, shift = worker.report(), self.now, worker.shift
         if not node.alive or node.cut_workers or "silent" in how:
@@ -681,13 +683,13 @@
                 worker.busy_until = self.now + 4.0
                 return
             if status == 200:
-                self.after(0.002, lambda: worker.answered(answer, sent_at, shift))
+                self.after(0.002 + self.link_s, lambda: worker.answered(answer, sent_at, shift))
             else:
                 member = answer.get("foreman")
                 worker.busy_until = self.now + (0.2 if member and member != node.member else 1.0)
                 worker.node = self.members.index(member) if member else (worker.node + 1) % 3
 
-        self.after(0.002, arrive)
+        self.after(0.002 + self.link_s, arrive)
 
     def a_leader_begins(self, node: SimNode) -> None:
         """Copies that were kept for it reach every node, the newest of each machine first."""
