Tests: a late claim to the lead is really played; twins in the tests call one piece

Reading the change again: the end of the election's test tried a condition of the stand-in, not a claim. It is replaced by a stricter test: a claim without an answer, another that wins, and the first carried out late, which must be refused.

A job as its user sends it was built in three more places (now `world.wire`), what a job may use was asked in two (`World._allowed`), and a value for a while was set in two ways (`Scenario._for_a_while`). Assertions are as they were.

--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -14,13 +14,12 @@
 from poppyhold.options import load_options, parse_options
 from poppyhold.settings import ConfigError, Team, load_settings
 from world import World, submission
+from world import wire as as_sent
 
 
 def wire(**fields: object) -> dict[str, Any]:
     """A submission as a user sends it."""
-    job = submission("job-000001", fields)
-    del job["runs"]
-    return job
+    return as_sent(submission("job-000001", fields))
 
 
 BAD = [
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -7,10 +7,11 @@
 import pytest
 
 from poppyhold.deputy import Trust
+from poppyhold.election import Election, Term
 from poppyhold.messages import encode, parse_report
 from poppyhold.options import Options
 from poppyhold.settings import Team
-from poppyhold.store import ACTIVE, FINAL, LEAD, PLAN, Conflict, Entry, put
+from poppyhold.store import ACTIVE, FINAL, LEAD, PLAN, Entry, Unsure
 from test_attempts import leading_world
 from test_store import Fickle
 from world import SimReign, World, submission, wire
@@ -132,22 +133,31 @@
     assert world.broken == []
 
 
-def test_election_whose_answer_is_lost_is_won() -> None:
-    from poppyhold.election import Election, Term
+def candidate(store: Fickle, won: list[Term]) -> Election:
+    """A node that stands for the lead."""
+    world = World(1, 10.0, 30.0, [Team("alpha")])
+    return Election(world.settings, Options(), store, won.append, lambda: None, world.rng)
+
 
+def test_election_whose_answer_is_lost_is_won() -> None:
     store = Fickle("lost")
     won: list[Term] = []
-    settings = World(1, 10.0, 30.0, [Team("alpha")]).settings
-    election = Election(settings, Options(), store, won.append, lambda: None, World(1, 10.0, 30.0, []).rng)
     permit = store.state.lease(2500)[1]["permit"]
-    election._stand(permit, 0.0)
+    candidate(store, won)._stand(permit, 0.0)
     assert [term.permit for term in won] == [permit]
     assert store.state.keys[LEAD][1] == won[0].stamp
-    # A claim that is carried out late can't take the lead from whoever has it by then.
-    late = Fickle("late")
-    late.state.keys = store.state.keys
-    with pytest.raises(Conflict):
-        store.commit({LEAD: 0}, [put(LEAD, {"member": "hive-1"})])
+
+
+def test_claim_that_is_carried_out_late_takes_the_lead_from_nobody() -> None:
+    store = Fickle("late")
+    won: list[Term] = []
+    first, second = (store.state.lease(2500)[1]["permit"] for _ in range(2))
+    with pytest.raises(Unsure):
+        candidate(store, won)._stand(first, 0.0)
+    candidate(store, won)._stand(second, 0.0)
+    assert store.carry_out_late() == [409]
+    assert [term.permit for term in won] == [second]
+    assert store.state.keys[LEAD][0]["permit"] == second
 
 
 def test_repeats_cost_no_changes() -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -19,7 +19,7 @@
 from poppyhold.settings import Known, Outside, Team
 from test_smoke import Outside as OutsideStandIns
 from test_smoke import eventually, free_port
-from world import World, submission
+from world import World, submission, wire
 
 PING = ["ping", "hive-1", 7, True, 0.5, 40, 3]
 PONG = ["pong", "hive-1", 0, False, 0.5, 40, 3]
@@ -200,8 +200,8 @@
         for job_id in ("job-000001", "job-000002"):
             job = submission(job_id, {"shape": "service", "chores": 1, "rank": "critical", "sizeGb": 0.1})
             world.jobs[job_id] = job
-            wire = {key: value for key, value in job.items() if key != "runs"}
-            eventually(lambda wire=wire: node.users.submit(encode(wire))[0] in (200, 201))  # type: ignore[misc]
+            body = encode(wire(job))
+            eventually(lambda body=body: node.users.submit(body)[0] in (200, 201))  # type: ignore[misc]
         eventually(lambda: len(world.worker.on_machine()) == 2)
         world.blind = True
         eventually(lambda: node.users.abort("job-000001")[0] == 200)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -94,9 +94,9 @@
         for index, node in enumerate(self.world.nodes):
             self.world.after(index * float(every), lambda node=node: node.crash(3.0))  # type: ignore[misc]
 
-    def _for_a_while(self, node: Any, name: str, seconds: str) -> None:
-        setattr(node, name, True)
-        self.world.after(float(seconds), lambda: setattr(node, name, False))
+    def _for_a_while(self, target: Any, name: str, seconds: str, value: bool | float = True) -> None:
+        setattr(target, name, value)
+        self.world.after(float(seconds), lambda: setattr(target, name, type(value)()))
 
     def do_refuse(self, which: str, word: str, seconds: str) -> None:
         for node in self._nodes(which):
@@ -124,19 +124,15 @@
 
     def do_late_writes(self, share: str, word: str, seconds: str) -> None:
         """Transactions get no answer and are carried out late, behind newer ones."""
-        self._share_for_a_while("late_writes", share, seconds)
+        self._for_a_while(self.world, "late_writes", seconds, float(share))
 
     def do_lost_answers(self, share: str, word: str, seconds: str) -> None:
         """Transactions are carried out at once and get no answer."""
-        self._share_for_a_while("lost_answers", share, seconds)
+        self._for_a_while(self.world, "lost_answers", seconds, float(share))
 
     def do_slow_links(self, delay: str, word: str, seconds: str) -> None:
         """Messages between controllers and workers take so much longer, each way."""
-        self._share_for_a_while("link_s", delay, seconds)
-
-    def _share_for_a_while(self, name: str, share: str, seconds: str) -> None:
-        setattr(self.world, name, float(share))
-        self.world.after(float(seconds), lambda: setattr(self.world, name, 0.0))
+        self._for_a_while(self.world, "link_s", seconds, float(delay))
 
     def do_lose_hires(self, number: str) -> None:
         self.world.lose_hires = int(number)
@@ -190,7 +186,7 @@
     def do_late_reports(self, share: str, word: str, seconds: str, when: str = "") -> None:
         """A copy of that share of reports comes again: 1 to 25 s late, or when the next leader begins."""
         self.world.keep_copies = when == "for_next"
-        self._share_for_a_while("copied", share, seconds)
+        self._for_a_while(self.world, "copied", seconds, float(share))
 
     def do_cancel_now(self, number: str, word: str = "hang", seconds: str = "0") -> None:
         """Users call off so many jobs that run; machines that run them hang for a while."""
@@ -206,7 +202,7 @@
 
     def do_cancel_at_end(self, share: str, word: str, seconds: str) -> None:
         """That share of the jobs that end is called off at the moment of the end."""
-        self._share_for_a_while("cancel_at_end", share, seconds)
+        self._for_a_while(self.world, "cancel_at_end", seconds, float(share))
 
     def do_close_looks(self, word: str, seconds: str) -> None:
         """Users ask at all nodes, and repeat the submission, as soon as they are told something."""
--- a/tests/test_smoke.py
+++ b/tests/test_smoke.py
@@ -22,7 +22,7 @@
 from poppyhold.settings import MachineLimits, Workers, strains
 from poppyhold.workers import Done, Lane
 from standins import CloudStandIn, StateStandIn, WorkerStandIn
-from world import World, build_data, submission
+from world import World, build_data, submission, wire
 
 ROOT = Path(__file__).resolve().parent.parent
 PATIENCE_S = 60.0
@@ -206,8 +206,8 @@
         ):
             job = submission(job_id, fields)
             outside.jobs[job_id] = job
-            wire = {key: value for key, value in job.items() if key != "runs"}
-            eventually(lambda wire=wire: program.ask("POST", "/api/jobs", wire)[0] in (200, 201))  # type: ignore[misc]
+            body = wire(job)
+            eventually(lambda body=body: program.ask("POST", "/api/jobs", body)[0] in (200, 201))  # type: ignore[misc]
         eventually(lambda: program.ask("GET", "/api/jobs/job-000001")[1].get("status") == "done")
         assert sorted(outside.finished) == [f"job-000001/{index}" for index in range(3)]
         eventually(lambda: outside.worker.on_machine() == ["job-000002/0"])
--- a/tests/world.py
+++ b/tests/world.py
@@ -851,6 +851,15 @@
     def _running(self) -> list[tuple[SimWorker, str]]:
         return [(worker, task) for worker in self.workers.values() for task in worker.on_machine()]
 
+    @staticmethod
+    def _allowed(worker: WorkerStandIn, job: Data) -> bool:
+        """Whether a job may use a machine, its other tasks aside."""
+        return bool(
+            (job["builds"] is None or worker.build["name"] in job["builds"])
+            and (job["paddock"] is None or worker.zone == job["paddock"])
+            and (job["loaners"] or not worker.spot)
+        )
+
     def _started(self, worker: WorkerStandIn, task: str) -> None:
         self.starts[task] = self.starts.get(task, 0) + 1
         self.work["starts"] += 1
@@ -859,11 +868,7 @@
         others = [(w, t) for w, t in self._running() if w is not worker]
         if any(t == task for _, t in others):
             self.broken.append(f"ran_twice: {task} at {self.now:.1f}")
-        allowed = (
-            (job["builds"] is None or worker.build["name"] in job["builds"])
-            and (job["paddock"] is None or worker.zone == job["paddock"])
-            and (job["loaners"] or not worker.spot)
-        )
+        allowed = self._allowed(worker, job)
         zones = [w.zone for w, t in self._running() if t.rpartition("/")[0] == job_id]
         if job["samePlace"] and len(set(zones)) > 1:
             allowed = False
@@ -895,12 +900,9 @@
 
     @staticmethod
     def _has_room(worker: SimWorker, job: Data) -> bool:
-        allowed = (
-            (job["builds"] is None or worker.build["name"] in job["builds"])
-            and (job["paddock"] is None or worker.zone == job["paddock"])
-            and (job["loaners"] or not worker.spot)
+        return (
+            World._allowed(worker, job) and worker.recall_s is None and not worker.faulty and worker.fits(job)
         )
-        return allowed and worker.recall_s is None and not worker.faulty and worker.fits(job)
 
     def _check(self) -> None:
         if self.now > self.calm_at:
