--- a/src/poppyhold/attempts.py
+++ b/src/poppyhold/attempts.py
@@ -343,7 +343,17 @@
                 Command(CommandKind.START, attempt.name, attempt.number),
             )
         self._ctx.fleet.add(attempt)
-        log.debug("start %s on %s as %d, stopping %d", attempt.name, machine.name, number, len(victims))
+        log.debug(
+            "start %s of %s on %s as %d, stopping %d; %s, %.1f GB, %s",
+            attempt.name,
+            job.spec.job_class,
+            machine.name,
+            number,
+            len(victims),
+            job.spec.image,
+            job.spec.image_gb,
+            "held" if job.spec.image in machine.images else "to be fetched",
+        )
         return attempt
 
     def stop(self, attempt: Attempt, grace_s: float, now: float, direct: bool = True) -> None:
