The lead goes to the controller that reaches all others, where two zones are apart

Cause: three zones with a controller each. Where two of them can't reach each other, a leader in one loses the other's workers though the third zone's controller hears all. Controllers now name in their answers whom they hear; a leader lets one lead that has heard all that it hears and more for a quarter of a lease, and who is placed worse lets the other campaign first. One more field behind the last of an answer, which older versions read past. The test of messages of other versions now holds the new field at its place, and a further one behind it as before.

--- a/src/poppyhold/election.py
+++ b/src/poppyhold/election.py
@@ -56,11 +56,14 @@
         store: Store,
         on_elected: Callable[[Term], None],
         on_deposed: Callable[[], None],
+        yields: Callable[[], bool],
         rng: random.Random,
     ) -> None:
         self._member = settings.member
         self._store, self._rng = store, rng
         self._on_elected, self._on_deposed = on_elected, on_deposed
+        # Whether a controller that is placed better should campaign before us.
+        self._yields = yields
         lease_s = settings.settings.workers.lease_s
         self.life_s = lease_s * options.leadership.term_leases
         self._renew_s = self.life_s / options.leadership.renewals
@@ -69,6 +72,7 @@
         self._wake = threading.Event()
         self._stopped = False
         self._resting_until = 0.0
+        self._vacant_since = time.monotonic()
         self.leader: Leader | None = None
         self._named = threading.Condition()
         self._snapshot_seen = False
@@ -129,6 +133,8 @@
 
     def _name(self, leader: Leader | None) -> None:
         with self._named:
+            if leader is None and self.leader is not None:
+                self._vacant_since = time.monotonic()
             self.leader = leader
             if leader is not None:
                 self._named.notify_all()
@@ -217,6 +223,8 @@
                 self._end_lease(leader.lease_id)
                 return self._renew_s / 2
             return self.life_s
+        if now - self._vacant_since < self.life_s and self._yields():
+            return self._renew_s / 2
         try:
             lease_id = self._store.lease(self.life_s)
             asked = time.monotonic()
--- a/src/poppyhold/peers.py
+++ b/src/poppyhold/peers.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from poppyhold.cancellations import Cancellation
+from poppyhold.connectivity import Connectivity
 from poppyhold.context import Hints, Passed
 from poppyhold.deputy import Deputies, Trust
 from poppyhold.settings import Known, Settings, split_address
@@ -61,6 +62,8 @@
     unnamed: int | None = None
     # The workers that turned to it lately: the leader knows whether it has heard newer reports of them.
     passed: list[Passed] = []
+    # Other controllers that answered it lately. None are named by a version before this field.
+    hears: list[str] = []
 
     @property
     def bound(self) -> int:
@@ -128,6 +131,9 @@
         self._every_s = workers.report_s / 2
         self._timeout_s = workers.lease_s / 10
         self.views: dict[str, PeerView] = {}
+        # A link is taken for broken when two questions in a row got no answer.
+        fresh_s = 2 * (self._every_s + self._timeout_s)
+        self.connectivity = Connectivity(settings.member, fresh_s, time.monotonic)
         self._stop = threading.Event()
         self._listener = socket.create_server(split_address(settings.back), backlog=16)
         self._threads = [threading.Thread(target=self._accept, name="peers", daemon=True)]
@@ -186,6 +192,7 @@
                     self._talk(connection, known)
             except (OSError, ValueError, msgspec.MsgspecError) as error:
                 log.debug("peer %s: %s", known.member, error)
+                self.connectivity.lost(known.member)
                 view = self.views.get(known.member)
                 if view is not None:
                     self.views[known.member] = view._replace(heard_at=float("-inf"))
@@ -215,6 +222,7 @@
                 # What a leader may do depends on who answered.
                 raise ValueError(f"not a pong of {known.member}")
             self._note(known.member, message, asked)
+            self.connectivity.answered(known.member, message.hears)
             if deputies is not None:
                 deputies.answered(known.member, asked)
             self._on_pong(message, asked)
--- a/src/poppyhold/service.py
+++ b/src/poppyhold/service.py
@@ -40,6 +40,7 @@
     def __init__(self, settings: Settings, options: Options) -> None:
         self.settings, self.options = settings, options
         self.skew_s = settings.settings.skew_ms / 1000
+        self._times = Times(settings, options)
         self.rng = random.Random()
         self.store = Store(settings)
         self.cloud = CloudClient(settings)
@@ -55,7 +56,9 @@
         self._leader_term_lock = threading.Lock()
         self._stop = threading.Event()
         self._started_at = time.monotonic()
-        self.election = Election(settings, options, self.store, self._elected, self._deposed, self.rng)
+        self.election = Election(
+            settings, options, self.store, self._elected, self._deposed, self._yields, self.rng
+        )
         self.peers = Peers(
             settings,
             self._describe,
@@ -67,8 +70,7 @@
             self._deputies,
         )
         workers = settings.settings.workers
-        times = Times(settings, options)
-        self.deputy = Deputy(times, self.skew_s, time.monotonic, time.time)
+        self.deputy = Deputy(self._times, self.skew_s, time.monotonic, time.time)
         # Behind this a worker has given up the answer, as PROTOCOL says: it comes at once or not at all.
         self._report_timeout = min(workers.report_s * 2.5, _WORKER_PATIENCE_S * 0.75)
         # A worker that is not told where to go tries another node a second later. Where all nodes have just
@@ -151,6 +153,10 @@
             if leader_term is not None:
                 leader_term.stop()
 
+    def _yields(self) -> bool:
+        """Whether another controller should campaign before this one."""
+        return self.peers.connectivity.better_placed() is not None
+
     def _counts(self) -> dict[str, tuple[int, int]]:
         leader_term = self._leader_term
         return leader_term.counts() if leader_term is not None else {}
@@ -199,7 +205,16 @@
             # Read behind `us`: what is told in between is named as well.
             named, unnamed = self.cancellations_told()
         return Pong(
-            us.member, us.token, us.leading, us.state_age_s, us.told, us.workers, named, unnamed, passed
+            us.member,
+            us.token,
+            us.leading,
+            us.state_age_s,
+            us.told,
+            us.workers,
+            named,
+            unnamed,
+            passed,
+            self.peers.connectivity.hears(),
         )
 
     def _on_ping(self, ping: Ping) -> None:
@@ -225,6 +240,7 @@
         leader_term = self._leader_term
         if leader_term is not None:
             leader_term.told(pong, asked)
+            self._hand_over()
         leader = self.election.leader
         # It runs, and leads nothing: the key is that of a process before it.
         if leader is None or leader.member != pong.member or pong.token:
@@ -236,6 +252,16 @@
         else:
             self._idle_leader = leader
 
+    def _hand_over(self) -> None:
+        """Let a controller lead that reaches more of the others than we do.
+
+        Two zones that cannot reach each other while both reach a third: a leader in one of the two lost all
+        tasks of the other one to their leases, and could not tell for half a minute what still ran there.
+        """
+        better = self.peers.connectivity.better_placed_for(self._times.deputy_after_s)
+        if better is not None:
+            self.election.resign(f"{better} reaches more controllers")
+
     def _refused(self, member: str) -> None:
         leader = self.election.leader
         if leader is None or leader.member != member or self.election.term is not None:
--- a/tests/jobs.py
+++ b/tests/jobs.py
@@ -10,7 +10,7 @@
 ZONES = ["a", "b"]
 
 
-def build_data(name: str, accelerators: float, boot_s: float) -> Data:
+def build_data(name: str, accelerators: float, boot_s: float, zones: list[str] | None = None) -> Data:
     """A machine type."""
     return {
         "name": name,
@@ -22,7 +22,7 @@
         "rate": 3.0 * accelerators,
         "marketPrice": 1.0 * accelerators,
         "startupS": boot_s,
-        "paddocks": ZONES,
+        "paddocks": zones or ZONES,
     }
 
 
--- a/tests/sim_node.py
+++ b/tests/sim_node.py
@@ -8,9 +8,10 @@
 
 import msgspec
 
-from jobs import ZONES, Data
+from jobs import Data
 from poppyhold.authority import Authority
 from poppyhold.committer import Writer
+from poppyhold.connectivity import Connectivity
 from poppyhold.context import OK, REFUSED, UNSENT, UNSURE, Passed, Times
 from poppyhold.controller import Controller
 from poppyhold.deputy import Deputies, Deputy, Trust
@@ -303,7 +304,7 @@
 
     def __init__(self, world: World, member: str) -> None:
         self.world, self.member = world, member
-        self.zone = ZONES[world.members.index(member) % len(ZONES)]
+        self.zone = world.zones[world.members.index(member) % len(world.zones)]
         self.settings = world.settings
         self.times = Times(world.settings, Options())
         self.alive = True
@@ -327,6 +328,7 @@
         self.first_revision = -1
         self.passed_on: dict[str, tuple[float, Passed]] = {}
         self.deputy = Deputy(self.times, 0.0, lambda: self.world.now, lambda: self.world.now)
+        self.connectivity = Connectivity(self.member, self.times.report_s, lambda: self.world.now)
         builds = {b["name"]: convert(b, MachineType) for b in self.world.cloud.machine_types}
         self.users = Users(self.settings, self.store, lambda: builds, self._count, lambda: self.world.now)
 
@@ -386,9 +388,14 @@
                 self.first_revision = self.store.scan(LEAD)[1]
         except (RefusedError, UncertainError, ConflictError):
             pass
+        self._listen()
         self._ask_peers()
         leader_term = self.leader_term
         if leader_term is not None:
+            better = self.connectivity.better_placed_for(self.times.deputy_after_s)
+            if better is not None:
+                leader_term.resign(f"{better} reaches more controllers")
+                return
             leader_term.controller.tick()
             leader_term.settle()
 
@@ -418,6 +425,8 @@
                 # A claim of ours that had no answer, or of a process of ours before this one.
                 world.state.end(lead.data["permit"])
             return
+        if self.connectivity.better_placed() is not None:
+            return
         permit = world.state.lease(2500)[1]["permit"]
         held = self.store.get(TOKEN)
         baton = (held.data["baton"] if held else 0) + 1
@@ -433,16 +442,29 @@
         self.leader_term = SimLeaderTerm(self, baton, stamp, permit)
         world.a_leader_begins(self)
 
+    def _reached(self) -> list[SimNode]:
+        """The other nodes that answer this one."""
+        world = self.world
+        return [
+            other
+            for other in world.nodes
+            if other is not self
+            and other.alive
+            and not (other.frozen or self.cut_peers or other.cut_peers)
+            and not world.severed(self.zone, other.zone)
+        ]
+
+    def _listen(self) -> None:
+        """Hear from the others whom they reach."""
+        for other in self._reached():
+            self.connectivity.answered(other.member, other.connectivity.hears())
+
     def _ask_peers(self) -> None:
         world, leader_term = self.world, self.leader_term
         if leader_term is None:
             return
         self.tell(leader_term)
-        for other in world.nodes:
-            if other is self or not other.alive or other.frozen or self.cut_peers or other.cut_peers:
-                continue
-            if world.severed(self.zone, other.zone):
-                continue
+        for other in self._reached():
             leader_term.deputies.telling(other.member, world.now)
             other.deputy.heard(leader_term.token, leader_term.trust())
             leader_term.deputies.answered(other.member, world.now)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -138,7 +138,7 @@
 def candidate(store: Fickle, won: list[Term]) -> Election:
     """A node that stands for the lead."""
     world = World(1, 10.0, 30.0, [Team("alpha")])
-    return Election(world.settings, Options(), store, won.append, lambda: None, world.rng)
+    return Election(world.settings, Options(), store, won.append, lambda: None, lambda: False, world.rng)
 
 
 def test_election_whose_answer_is_lost_is_won() -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -39,13 +39,14 @@
     old = over_a_connection(PONG)
     assert isinstance(old, Pong)
     # A version that names nothing: all that it told came by the one revision that it says.
-    assert (old.cancelled, old.bound) == ([], 40)
+    assert (old.cancelled, old.bound, old.hears) == ([], 40, [])
     newer = over_a_connection(
-        [*PONG, [["job-000001", 41]], 12, [["vm-1", 1, 7]], "a further field", {"and": "more"}]
+        [*PONG, [["job-000001", 41]], 12, [["vm-1", 1, 7]], ["hive-2"], "a further field", {"and": "more"}]
     )
     assert isinstance(newer, Pong)
     assert (newer.cancelled, newer.bound) == ([("job-000001", 41)], 12)
     assert newer.passed == [("vm-1", 1, 7)]
+    assert newer.hears == ["hive-2"]
     ping = over_a_connection(PING)
     assert isinstance(ping, Ping)
     assert ping.known == -1
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -13,6 +13,7 @@
 from poppyhold.attempts import Attempts
 from poppyhold.authority import Authority
 from poppyhold.cancellations import Cancellations
+from poppyhold.connectivity import Connectivity
 from poppyhold.controller import Controller
 from poppyhold.deputy import Deputies, Deputy
 from poppyhold.dispatch import Dispatcher, Pass
@@ -42,7 +43,12 @@
         guaranteed = float(head.get("guaranteed", 8))
         teams = [Team("alpha", gpus=guaranteed, gpus_max=limit), Team("beta", gpus=8, gpus_max=0)]
         self.world = World(
-            seed, float(head.get("lease_s", 10)), float(head.get("cancel_s", 30)), teams, _next_limits(head)
+            seed,
+            float(head.get("lease_s", 10)),
+            float(head.get("cancel_s", 30)),
+            teams,
+            _next_limits(head),
+            head["zones"].split(",") if "zones" in head else None,
         )
         self.failures: list[str] = []
 
@@ -174,6 +180,12 @@
         world.cut = zone
         world.after(float(seconds), lambda: setattr(world, "cut", None))
 
+    def do_partition(self, zones: str, word: str, seconds: str) -> None:
+        """The two zones can't reach each other; both reach all else."""
+        world = self.world
+        world.partition = set(zones.split(","))
+        world.after(float(seconds), lambda: setattr(world, "partition", set()))
+
     def do_trouble(self, kind: str, machine: str, word: str, seconds: str) -> None:
         """A kind of trouble with a machine, or with all; the kinds are in scenarios/README.md."""
         names = list(self.world.workers) if machine == "all" else [machine]
@@ -438,6 +450,7 @@
     ("gang_machine_hangs", Gangs, "gone", _never),
     ("gang_done_by_one_report", Job, "complete", _complete_one),
     ("gang_unsure_start", Attempts, "raise_token", _always),
+    ("zone_partition", Connectivity, "better_placed", _never),
 ]
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -43,7 +43,9 @@
         cancel_s: float,
         teams: list[Team],
         next_limits: NextState | None = None,
+        zones: list[str] | None = None,
     ) -> None:
+        self.zones = zones or ZONES
         self.now = 0.0
         self.rng = random.Random(seed)
         self.members = ["hive-0", "hive-1", "hive-2"]
@@ -58,7 +60,7 @@
             known=[Known(m, "a", "127.0.0.1:5") for m in self.members[1:]],
             settings=DeploymentSettings(
                 count=3,
-                zones=ZONES,
+                zones=self.zones,
                 teams=teams,
                 workers=Workers(report_s=1.0, lease_s=lease_s, cancel_s=cancel_s),
                 state=State(txn_ops=20, next=next_limits),
@@ -67,7 +69,9 @@
         )
         self.state = StateStandIn(lambda: self.now)
         self.cloud = CloudStandIn(
-            lambda: self.now, [build_data("small", 4, 10.0), build_data("large", 8, 10.0)], 8.0
+            lambda: self.now,
+            [build_data("small", 4, 10.0, self.zones), build_data("large", 8, 10.0, self.zones)],
+            8.0,
         )
         self.workers: dict[str, SimWorker] = {}
         self.troubles: dict[str, set[str]] = {}
@@ -85,6 +89,8 @@
         self.link_s = 0.0
         # A zone that is cut off from everything.
         self.cut: str | None = None
+        # Two zones that can't reach each other.
+        self.partition: set[str] = set()
         self.jobs: dict[str, Data] = {}
         self.cancelled_at: dict[str, float] = {}
         self.told: dict[str, str] = {}
@@ -107,8 +113,8 @@
         self.cancel_at_end = 0.0
 
     def severed(self, one: str, other: str) -> bool:
-        """Whether a cut lies between two zones."""
-        return one != other and self.cut in (one, other)
+        """Whether a cut or a partition lies between two zones."""
+        return one != other and (self.cut in (one, other) or self.partition == {one, other})
 
     def carry_out_late(self, body: Data) -> None:
         """A transaction whose caller has given it up reaches the state service."""
@@ -200,7 +206,7 @@
             worker.expire()
             return
         changed = worker.step()
-        if worker.held_commands and "hold" not in how and self.cut is None:
+        if worker.held_commands and "hold" not in how and self.cut is None and not self.partition:
             # What was held back comes in order once the way is free, whoever still waits for it.
             held, worker.held_commands = worker.held_commands, []
             for body in held:
