Replicas move from holders of an image, for tasks that would wait for its fetch

Change: a replica moves where its own class may wait for the fetch, or where its image is, if that costs less than the wait. Ruled out before: machines that fetch faster for good (rates differ from fetch to fetch).

--- a/src/poppyhold/dispatch.py
+++ b/src/poppyhold/dispatch.py
@@ -9,6 +9,7 @@
 from poppyhold.gang_placement import GangPlacement
 from poppyhold.gangs import GangState
 from poppyhold.placement import Choice, Placement, Quotas, Search, fetch_wait, may_use, zone_allows
+from poppyhold.relocation import Relocation
 
 # Leases after which a job that has not begun is no longer passed over for more valuable ones. With twice as
 # many, large arrays of a small fleet under overload began four minutes and more behind their submission.
@@ -58,6 +59,10 @@
         }
         self.placement = Placement(aims, self._loss)
         self._gang_placement = GangPlacement(self.placement)
+        times = ctx.times
+        self._relocation = Relocation(
+            admission.pricing.weights, times.report_s, times.cancel_s, self.placement.in_time, ctx.clock
+        )
         self._pass = Pass([], [], NOTHING)
         # Jobs that passes which were broken off came to.
         self._looked_at: set[str] = set()
@@ -87,6 +92,7 @@
         self._pass = Pass(machines, steady, self._unknown_use())
         self.placement.begin(machines, [job for job in ctx.fleet.jobs.values() if job.active])
         self._gang_placement.begin(ctx.fleet.jobs.values())
+        self._relocation.begin(self._pass.held)
         # A backlog that meets a thousand empty machines takes seconds: reports must not wait for it. The next
         # pass goes on with those that this one did not come to.
         budget_s = ctx.times.report_s / 16
@@ -223,7 +229,7 @@
             else:
                 if not searches or job.spec.one_zone:
                     searches = self._searches(job, reserved)
-                choices = (self._choose(job, search) for search in searches)
+                choices = (self._choose(job, search, reserved) for search in searches)
                 choice = next((found for found in choices if found is not None), None)
             if choice is None:
                 anywhere = not job.spec.one_zone and all(zone_allows(job, zone) for zone in here.zones)
@@ -245,7 +251,7 @@
             parts = [self._home(job, machines, reserved) for machines in parts]
         return [Search(self.placement, job, machines, reserved) for machines in parts]
 
-    def _choose(self, job: Job, search: Search) -> Choice | None:
+    def _choose(self, job: Job, search: Search, reserved: dict[str, Room]) -> Choice | None:
         """The best machine with room; else, or where its image would come too late, one that makes room."""
         choice = search.best()
         if self._ctx.clock() < job.preempts_again_at:
@@ -255,12 +261,16 @@
         wait = fetch_wait(choice.machine, job)
         if self.placement.in_time(job, wait):
             return choice
+        return self._sooner(job, search, wait, reserved) or choice
+
+    def _sooner(self, job: Job, search: Search, wait: float, reserved: dict[str, Room]) -> Choice | None:
+        """A machine that has the image, if making room there loses less than the wait elsewhere."""
         other = search.preempt(soon=True)
-        if other is None or any(victim.job.service for victim in other.victims):
-            return choice
-        # No more work may be lost than waiting is saved.
-        saved = wait - fetch_wait(other.machine, job)
-        return other if sum(self._loss(victim) for victim in other.victims) <= saved else choice
+        if other is not None and not any(victim.job.service for victim in other.victims):
+            saved = wait - fetch_wait(other.machine, job)
+            if sum(self._loss(victim) for victim in other.victims) <= saved:
+                return other
+        return self._relocation.make_room(job, wait, self._pass.steady, reserved)
 
     def _within_limit(self, job: Job, in_use: tuple[float, float]) -> Choice | None:
         """At its team's limit, a job may still take the room of lower work of the team."""
--- /dev/null
+++ b/src/poppyhold/relocation.py
@@ -0,0 +1,182 @@
+"""Moving standing replicas to make room where an image is, for a task that would wait for its fetch.
+
+Machines that hold the image of a small class fill up with replicas that stay for long, while there is room on
+others that would have to fetch it first. A replica that another machine can take at once, or whose class may
+wait for a fetch, gives up its place to a task whose class may not.
+"""
+
+from __future__ import annotations
+
+import itertools
+import logging
+from collections.abc import Callable, Iterable, Sequence
+
+import msgspec
+
+from poppyhold.fleet import EPSILON, NOTHING, Attempt, Job, Machine, Room, fits, plus
+from poppyhold.messages import TaskState
+from poppyhold.placement import Choice, fetch_wait, may_use, zone_allows
+
+log = logging.getLogger(__name__)
+
+# Searches in one pass, and machines that are looked at as a replica's next one: reports must not wait.
+_MOST_SEARCHES = 8
+_MOST_HOMES = 32
+
+
+class Move(msgspec.Struct, eq=False):
+    """A replica that leaves its machine, the one where room for it is kept, and what the move costs."""
+
+    attempt: Attempt
+    home: Machine
+    cost: float
+
+
+class Relocation:
+    """Finds replicas to move, and keeps room for them until their old attempts are over."""
+
+    def __init__(
+        self,
+        weights: Sequence[float],
+        restart_s: float,
+        settled_s: float,
+        in_time: Callable[[Job, float], bool],
+        clock: Callable[[], float],
+    ) -> None:
+        # A second of a replica's time is worth the weight of its priority.
+        self._weights = weights
+        self._restart_s, self._settled_s = restart_s, settled_s
+        self._in_time, self._clock = in_time, clock
+        self._moves: list[Move] = []
+        self._searches_left = 0
+        self._hopeless: set[tuple[str, Room, int]] = set()
+
+    def begin(self, held: dict[str, Room]) -> None:
+        """A new pass: keep the room of replicas that are still on their way."""
+        self._moves = [move for move in self._moves if _on_its_machine(move.attempt)]
+        for move in self._moves:
+            _reserve(held, move)
+        self._searches_left = _MOST_SEARCHES
+        self._hopeless.clear()
+
+    def make_room(
+        self, job: Job, wait_s: float, machines: list[Machine], reserved: dict[str, Room]
+    ) -> Choice | None:
+        """A machine with the job's image and the replicas that move away, if that costs less than waiting."""
+        kind = (job.spec.image, job.need, job.rank)
+        if self._searches_left <= 0 or kind in self._hopeless:
+            return None
+        self._searches_left -= 1
+        homes = self._homes(machines, reserved)
+        best: tuple[float, Machine, list[Move]] | None = None
+        for machine in machines:
+            if not self._may_take(job, machine):
+                continue
+            moves = self._moves_from(job, machine, homes, reserved)
+            cost = sum(move.cost for move in moves)
+            if moves and (best is None or cost < best[0]):
+                best = cost, machine, moves
+        if best is None or best[0] >= wait_s * self._weights[job.rank]:
+            self._hopeless.add(kind)
+            return None
+        _, machine, moves = best
+        for move in moves:
+            _reserve(reserved, move)
+            log.debug("%s moves from %s to %s", move.attempt.name, machine.name, move.home.name)
+        self._moves += moves
+        return Choice(machine, [move.attempt for move in moves])
+
+    @staticmethod
+    def _may_take(job: Job, machine: Machine) -> bool:
+        """Whether a task of the job could start at once, had the machine room."""
+        return job.spec.image in machine.images and may_use(job, machine) and zone_allows(job, machine.zone)
+
+    @staticmethod
+    def _homes(machines: Iterable[Machine], reserved: dict[str, Room]) -> list[Machine]:
+        """Machines with some room left of all that they have."""
+        roomy = (
+            machine
+            for machine in machines
+            if all(
+                left > EPSILON
+                for left, all_ in zip(machine.free_beside(reserved), machine.capacity, strict=True)
+                if all_ > 0
+            )
+        )
+        return list(itertools.islice(roomy, _MOST_HOMES))
+
+    def _moves_from(
+        self, job: Job, machine: Machine, homes: list[Machine], reserved: dict[str, Room]
+    ) -> list[Move]:
+        """The replicas whose moves make room for one task on a machine; none if that can't be."""
+        taken = dict(reserved)
+        free = machine.free_beside(reserved)
+        options = [
+            move
+            for attempt in machine.attempts.values()
+            if self._movable(job, attempt) and (move := self._move(job, attempt, homes, reserved)) is not None
+        ]
+        options.sort(key=lambda move: (move.cost, -move.attempt.sent_at))
+        chosen: list[Move] = []
+        for option in options:
+            # The room that others found may be taken by an earlier one of these.
+            move = self._move(job, option.attempt, homes, taken) if chosen else option
+            if move is None:
+                continue
+            chosen.append(move)
+            _reserve(taken, move)
+            free = plus(free, move.attempt.job.need)
+            if fits(job.need, free):
+                return chosen
+        return []
+
+    def _movable(self, job: Job, attempt: Attempt) -> bool:
+        """Whether a replica may move for the job. A start that is stopped soon was none to its user."""
+        other = attempt.job
+        return (
+            other.service
+            and other is not job
+            and not other.over
+            and other.rank >= job.rank
+            and attempt.status == TaskState.RUNNING
+            and attempt.stopping_at is None
+            and attempt.running_at is not None
+            and self._clock() - attempt.running_at > self._settled_s
+        )
+
+    def _move(
+        self, job: Job, attempt: Attempt, homes: list[Machine], reserved: dict[str, Room]
+    ) -> Move | None:
+        """The best next machine of a replica. One of the same priority only moves to where its image is."""
+        other = attempt.job
+        best: tuple[float, Machine] | None = None
+        for home in homes:
+            if home is attempt.machine or not may_use(other, home):
+                continue
+            if home.zone != attempt.machine.zone and not zone_allows(other, home.zone):
+                continue
+            if not fits(other.need, home.free_beside(reserved)):
+                continue
+            wait_s = fetch_wait(home, other)
+            if not self._may_move_to(other, wait_s, other.rank == job.rank):
+                continue
+            if best is None or wait_s < best[0]:
+                best = wait_s, home
+        if best is None:
+            return None
+        return Move(attempt, best[1], (best[0] + self._restart_s) * self._weights[other.rank])
+
+    def _may_move_to(self, job: Job, wait_s: float, for_an_equal: bool) -> bool:
+        """Whether a replica may wait so long on its next machine: for one of the same priority not at all."""
+        return wait_s <= 0 if for_an_equal else self._in_time(job, wait_s)
+
+
+def _on_its_machine(attempt: Attempt) -> bool:
+    """Whether an attempt is not proven to be over."""
+    return attempt.machine.attempts.get(attempt.name) is attempt
+
+
+def _reserve(rooms: dict[str, Room], move: Move) -> None:
+    """Keep the room for a replica on its next machine."""
+    name = move.home.name
+    rooms[name] = plus(rooms.get(name, NOTHING), move.attempt.job.need)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -22,7 +22,8 @@
 from poppyhold.gangs import Gangs, GangState
 from poppyhold.hiring import Hiring
 from poppyhold.placement import Quotas
-from poppyhold.settings import NextState, Team
+from poppyhold.relocation import Relocation
+from poppyhold.settings import NextState, Objective, Team
 from poppyhold.store import TOKEN
 from world import World
 
@@ -49,6 +50,7 @@
             teams,
             _next_limits(head),
             head["zones"].split(",") if "zones" in head else None,
+            _wait_objectives(head.get("wait", "")),
         )
         self.failures: list[str] = []
 
@@ -307,6 +309,12 @@
     return NextState(txn_ops=int(head["next_txn_ops"]), value_kb=float(head["next_value_kb"]))
 
 
+def _wait_objectives(text: str) -> list[Objective]:
+    """`CLASS:SECONDS,...`: within which time the tasks of a class should start."""
+    pairs = (entry.split(":") for entry in text.split(",") if entry)
+    return [Objective("wait", job_class=name, within_s=float(seconds)) for name, seconds in pairs]
+
+
 def _value(text: str) -> object:
     if text in ("true", "false"):
         return text == "true"
@@ -451,6 +459,8 @@
     ("gang_done_by_one_report", Job, "complete", _complete_one),
     ("gang_unsure_start", Attempts, "raise_token", _always),
     ("zone_partition", Connectivity, "better_placed", _never),
+    ("image_holders_make_room", Relocation, "make_room", _never),
+    ("image_holders_keep_equals", Relocation, "_may_move_to", _always),
 ]
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -16,7 +16,7 @@
 from poppyhold.messages import encode
 from poppyhold.settings import Cloud as CloudLimits
 from poppyhold.settings import Deployment as DeploymentSettings
-from poppyhold.settings import Known, NextState, Outside, Settings, State, Team, Workers
+from poppyhold.settings import Known, NextState, Objective, Outside, Settings, State, Team, Workers
 from poppyhold.store import (
     LEAD,
 )
@@ -44,6 +44,7 @@
         teams: list[Team],
         next_limits: NextState | None = None,
         zones: list[str] | None = None,
+        objectives: list[Objective] | None = None,
     ) -> None:
         self.zones = zones or ZONES
         self.now = 0.0
@@ -62,6 +63,7 @@
                 count=3,
                 zones=self.zones,
                 teams=teams,
+                objectives=objectives or [],
                 workers=Workers(report_s=1.0, lease_s=lease_s, cancel_s=cancel_s),
                 state=State(txn_ops=20, next=next_limits),
                 cloud=CloudLimits(rps=2.0, list_lag_s=8.0),
