--- a/src/poppyhold/admission.py
+++ b/src/poppyhold/admission.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from poppyhold.context import Context
+from poppyhold.context import CommitRank, Context
 from poppyhold.estimates import Estimates
 from poppyhold.fleet import NOTHING, Attempt, Job, Machine, Room, plus
 from poppyhold.ledger import Ledger
@@ -178,7 +178,7 @@
                 self._on_ended(job)
 
         conditions = {ACTIVE_KEYS + job.id: job.version}
-        self._ctx.edges.commit(conditions, [put(PLAN + job.id, data)], durable, first=True)
+        self._ctx.edges.commit(conditions, [put(PLAN + job.id, data)], durable, CommitRank.AWAITED)
 
     def _record(self, job: Job) -> Data:
         """The durable form of a plan; one that does not fit loses its last slots.
--- a/src/poppyhold/attempts.py
+++ b/src/poppyhold/attempts.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from poppyhold.context import REFUSED, UNSENT, UNSURE, Context
+from poppyhold.context import REFUSED, UNSENT, UNSURE, CommitRank, Context
 from poppyhold.fleet import DONE, Attempt, Job, Machine
 from poppyhold.gangs import Gangs
 from poppyhold.messages import (
@@ -124,7 +124,8 @@
 
         record = MachineRecord(machine.endpoint, machine.machine_type, machine.zone, machine.spot)
         write = put(MACHINE + machine.name, msgspec.to_builtins(record))
-        self._ctx.edges.commit({}, [write], durable)
+        # Nothing starts on the machine before: a plan's record serves nobody without one.
+        self._ctx.edges.commit({}, [write], durable, CommitRank.SOONEST)
 
     def _take(self, machine: Machine, report: Report, now: float, answered: bool) -> None:
         """Take a report that is newer than all before it as the truth about its machine."""
@@ -492,7 +493,7 @@
                 ctx.token = token
                 ctx.edges.raised(token)
 
-        ctx.edges.commit({}, [put(TOKEN, {"baton": token})], raised, first=True)
+        ctx.edges.commit({}, [put(TOKEN, {"baton": token})], raised, CommitRank.SOONEST)
 
     def expire(self, machine: Machine, now: float) -> None:
         """End the attempts of a silent worker whose lease is over, whoever might have answered it."""
--- a/src/poppyhold/committer.py
+++ b/src/poppyhold/committer.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from poppyhold.context import CommitRank
 from poppyhold.settings import Settings
 from poppyhold.store import (
     FENCE,
@@ -99,18 +100,17 @@
         self._gap_s = 1.5 / limits.write_rps
         self._pause_s = 2 / limits.rps
         self._longest_pause_s = max(self._pause_s, settings.settings.workers.report_s / 8)
-        # Those that somebody waits for, and the rest; each in order, lest the oldest starve in a burst.
-        self._urgent: deque[Unit] = deque()
-        self._queue: deque[Unit] = deque()
+        # By rank; each in order, lest the oldest starve in a burst.
+        self._queues: dict[CommitRank, deque[Unit]] = {rank: deque() for rank in CommitRank}
         self._wake = threading.Condition()
         self._stopped = False
         self._thread = threading.Thread(target=self._run, name="committer", daemon=True)
         self._thread.start()
 
-    def submit(self, unit: Unit, first: bool = False) -> None:
+    def submit(self, unit: Unit, rank: CommitRank = CommitRank.BACKGROUND) -> None:
         """Queue a unit; its ``done`` is called with True once durable, False if a condition failed."""
         with self._wake:
-            (self._urgent if first else self._queue).append(unit)
+            self._queues[rank].append(unit)
             self._wake.notify()
 
     def stop(self) -> None:
@@ -119,14 +119,18 @@
             self._stopped = True
             self._wake.notify()
 
+    def _next_queue(self) -> deque[Unit] | None:
+        """The first queue that holds anything."""
+        return next((self._queues[rank] for rank in CommitRank if self._queues[rank]), None)
+
     def _take(self) -> list[Unit]:
         with self._wake:
-            while not (self._urgent or self._queue or self._stopped):
+            while not (self._next_queue() or self._stopped):
                 self._wake.wait()
             units: list[Unit] = []
             writes = conditions = 0
             keys: set[str] = set()
-            while (waiting := self._urgent or self._queue) and not self._stopped:
+            while (waiting := self._next_queue()) and not self._stopped:
                 unit = waiting[0]
                 writes += len(unit.writes)
                 conditions += len(unit.conditions)
--- a/src/poppyhold/connectivity.py
+++ b/src/poppyhold/connectivity.py
@@ -22,14 +22,16 @@
 
     def __init__(self, member: str, fresh_s: float, clock: Callable[[], float]) -> None:
         self._member, self._fresh_s, self._clock = member, fresh_s, clock
+        self._began_at = clock()
         self._reaches: dict[str, _Reach] = {}
-        # Since when the same controller has been placed better without a break.
-        self._better: str | None = None
-        self._better_since = float("inf")
+        # When each controller answered last, also those whose connection broke.
+        self._heard_at: dict[str, float] = {}
 
     def answered(self, member: str, hears: Iterable[str]) -> None:
         """Another controller answered, and named those that it hears itself."""
-        self._reaches[member] = _Reach(self._clock(), frozenset(hears))
+        now = self._clock()
+        self._reaches[member] = _Reach(now, frozenset(hears))
+        self._heard_at[member] = now
 
     def lost(self, member: str) -> None:
         """The connection to another controller broke."""
@@ -40,20 +42,19 @@
         oldest = self._clock() - self._fresh_s
         return [member for member, reach in list(self._reaches.items()) if reach.at >= oldest]
 
-    def better_placed(self) -> str | None:
-        """A controller that hears us, all others that we hear, and more."""
+    def better_placed(self, unheard_s: float = 0.0) -> str | None:
+        """A controller that hears us, all that we hear, and others that we have not heard for so long."""
         heard = set(self.hears())
+        since = self._clock() - unheard_s
         for member in sorted(heard):
             reach = self._reaches.get(member)
             if reach is None or self._member not in reach.hears:
                 continue
-            if heard - {member} < reach.hears - {self._member}:
+            others = reach.hears - {self._member}
+            missed = {other for other in others - heard if self._last_heard(other) <= since}
+            if heard - {member} <= others and missed:
                 return member
         return None
 
-    def better_placed_for(self, span_s: float) -> str | None:
-        """A controller that has been placed better for so long; to be asked again and again."""
-        better, now = self.better_placed(), self._clock()
-        if better is None or better != self._better:
-            self._better, self._better_since = better, now
-        return better if better is not None and now - self._better_since >= span_s else None
+    def _last_heard(self, member: str) -> float:
+        return self._heard_at.get(member, self._began_at)
--- a/src/poppyhold/context.py
+++ b/src/poppyhold/context.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from enum import IntEnum
 from typing import Any, Protocol
 
 import msgspec
@@ -24,6 +25,16 @@
 OK, REFUSED, UNSENT, UNSURE = "ok", "refused", "unsent", "unsure"
 
 
+class CommitRank(IntEnum):
+    """Order of the leader's durable steps; those of one rank go in the order of their requests."""
+
+    # What takes the longest behind it, or holds up everything else: hires, tokens, machines' records.
+    SOONEST = 0
+    # What somebody waits for: plans, ends of jobs.
+    AWAITED = 1
+    BACKGROUND = 2
+
+
 class Edges(Protocol):
     """Everything that the core asks of the outside. Each callback comes back on the core's thread."""
 
@@ -32,7 +43,7 @@
         conditions: dict[str, int],
         writes: list[Data],
         done: Callable[[bool], None],
-        first: bool = False,
+        rank: CommitRank = CommitRank.BACKGROUND,
     ) -> None:
         """Carry out a transaction under our leadership, and repeat it until its outcome is certain."""
 
--- a/src/poppyhold/controller.py
+++ b/src/poppyhold/controller.py
@@ -10,7 +10,7 @@
 from poppyhold.admission import Admission
 from poppyhold.attempts import Attempts
 from poppyhold.completions import Completions
-from poppyhold.context import Context, Edges, Hints, Times
+from poppyhold.context import CommitRank, Context, Edges, Hints, Times
 from poppyhold.dispatch import Dispatcher
 from poppyhold.fleet import (
     Attempt,
@@ -271,7 +271,10 @@
             self.job_removed(ACTIVE + job.id)
 
         self.ctx.edges.commit(
-            {ACTIVE + job.id: job.version}, final_writes(job.id, "done", job.spec.tasks), durable, first=True
+            {ACTIVE + job.id: job.version},
+            final_writes(job.id, "done", job.spec.tasks),
+            durable,
+            CommitRank.AWAITED,
         )
 
     # -- machines ------------------------------------------------------------------------------------
--- a/src/poppyhold/hiring.py
+++ b/src/poppyhold/hiring.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from poppyhold.attempts import Attempts
-from poppyhold.context import OK, REFUSED, Context
+from poppyhold.context import OK, REFUSED, CommitRank, Context
 from poppyhold.fleet import NOTHING, Attempt, Machine, Room, how_many, room_of
 from poppyhold.messages import HireRequest, Listed, convert
 from poppyhold.packing import Packing
@@ -96,7 +96,9 @@
             else:
                 self._hires.pop(name, None)
 
-        self._ctx.edges.commit({}, [put(HIRE + name, self._data(hire))], durable)
+        # Machines boot for longer than anything else takes: behind the plans of a first backlog the first
+        # requests of a fleet that began small waited for eleven seconds.
+        self._ctx.edges.commit({}, [put(HIRE + name, self._data(hire))], durable, CommitRank.SOONEST)
 
     def _data(self, hire: Hire) -> Data:
         record = HireRecord(hire.machine_type, hire.zone, hire.spot, hire.number, hire.machines)
--- a/src/poppyhold/leader_term.py
+++ b/src/poppyhold/leader_term.py
@@ -12,7 +12,7 @@
 from poppyhold.cancellations import Cancellation
 from poppyhold.cloud import CloudThread
 from poppyhold.committer import Committer, Unit
-from poppyhold.context import Data, Hints, Passed, Times
+from poppyhold.context import CommitRank, Data, Hints, Passed, Times
 from poppyhold.controller import Controller
 from poppyhold.deputy import Deputies, Trust
 from poppyhold.election import Term
@@ -225,14 +225,14 @@
         conditions: dict[str, int],
         writes: list[Data],
         done: Callable[[bool], None],
-        first: bool = False,
+        rank: CommitRank = CommitRank.BACKGROUND,
     ) -> None:
         """See `Edges`."""
 
         def durable(result: bool) -> None:
             self._post(DECISIONS, lambda: done(result))
 
-        self._committer.submit(Unit(conditions, writes, durable), first)
+        self._committer.submit(Unit(conditions, writes, durable), rank)
 
     def do(self, box: str, endpoint: str, body: Data, done: Done, patient: bool) -> None:
         """See `Edges`."""
--- a/src/poppyhold/service.py
+++ b/src/poppyhold/service.py
@@ -258,7 +258,7 @@
         Two zones that cannot reach each other while both reach a third: a leader in one of the two lost all
         tasks of the other one to their leases, and could not tell for half a minute what still ran there.
         """
-        better = self.peers.connectivity.better_placed_for(self._times.deputy_after_s)
+        better = self.peers.connectivity.better_placed(self._times.deputy_after_s)
         if better is not None:
             self.election.resign(f"{better} reaches more controllers")
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -12,7 +12,9 @@
 import pytest
 
 from poppyhold.committer import Committer, Unit, Writer
+from poppyhold.context import CommitRank
 from poppyhold.store import (
+    HIRE,
     LEAD,
     PLAN,
     TOKEN,
@@ -176,3 +178,44 @@
     with pytest.raises(ConflictError, match=LEAD):
         old.commit({}, [put(TOKEN, {"v": 3})])
     assert store.state.keys[TOKEN][0] == {"v": 2}
+
+
+class Held(Fickle):
+    """A state service that keeps the first transaction of a leader waiting."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.reached, self.go_on = threading.Event(), threading.Event()
+        self.order: list[str] = []
+
+    def commit(self, conditions: dict[str, int], writes: list[Data]) -> int:
+        if conditions:
+            self.reached.set()
+            assert self.go_on.wait(60.0)
+            self.order += [write["set"] for write in writes]
+        return super().commit(conditions, writes)
+
+
+def test_hires_go_before_the_plans_of_a_backlog() -> None:
+    # A hundred plans at two thirds of 25 changes a second kept the first hires of a fleet back for 11 s.
+    settings = World(1, 10.0, 30.0, []).settings
+    store = Held()
+    stamp = store.commit({}, [put(LEAD, {"member": "hive-0"})])
+    committer = Committer(store, settings, stamp, lambda: None)
+    left = threading.Semaphore(0)
+
+    def submit(key: str, rank: CommitRank) -> None:
+        committer.submit(Unit({}, [put(key, {})], lambda result: left.release()), rank)
+
+    submit(f"{PLAN}first", CommitRank.AWAITED)
+    assert store.reached.wait(60.0)
+    submit("records", CommitRank.BACKGROUND)
+    for number in range(20):
+        submit(f"{PLAN}{number:02d}", CommitRank.AWAITED)
+    submit(f"{HIRE}r-1", CommitRank.SOONEST)
+    store.go_on.set()
+    for _ in range(23):
+        assert left.acquire(timeout=60.0)
+    committer.stop()
+    plans = [f"{PLAN}{number:02d}" for number in range(20)]
+    assert store.order == [f"{PLAN}first", f"{HIRE}r-1", *plans, "records"]
