--- a/src/poppyhold/hiring.py
+++ b/src/poppyhold/hiring.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -27,6 +28,10 @@
 _HOPELESS_FAILURES = 4
 # A job that fails on no more machines than this may be sound.
 _FEW_MACHINES = 2
+# Machines of one zone that must all be silent to take the zone for cut off; fewer may have died together.
+_FEWEST_OF_A_ZONE = 3
+# Silence of such a zone behind which its machines are given up, as a multiple of `cancel_s`.
+_ZONE_PATIENCE = 8
 # A boot takes up to so many times the usual, as PROTOCOL says; what takes longer may take several times as
 # long, and is not waited for.
 _LATE_BOOTS = 1.5
@@ -52,6 +57,17 @@
     heard: int = 0
     quiet: int = 0
     silent: list[Machine] = msgspec.field(default_factory=list)
+    # By zone: machines that are up, and those of them that were heard lately.
+    zones_up: Counter[str] = msgspec.field(default_factory=Counter)
+    zones_heard: Counter[str] = msgspec.field(default_factory=Counter)
+
+    def silent_zones(self) -> set[str]:
+        """Zones whose machines are all silent: most likely they are cut off, and come back together."""
+        return {
+            zone
+            for zone, up in self.zones_up.items()
+            if up >= _FEWEST_OF_A_ZONE and not self.zones_heard[zone]
+        }
 
 
 class Hiring:
@@ -134,8 +150,13 @@
         self._ctx.edges.hire(msgspec.to_builtins(request), answered)
 
     def _refused(self, hire: Hire, now: float) -> None:
-        until = now + self._ctx.times.lease_s
-        self._provisioning.refused_until[(hire.machine_type, hire.zone, hire.spot)] = until
+        self._refuse(hire.machine_type, hire.zone, hire.spot, now + self._ctx.times.lease_s)
+
+    def _refuse(self, machine_type: str, zone: str, spot: bool, until: float) -> None:
+        """Don't ask for machines of a kind before a moment."""
+        refused_until = self._provisioning.refused_until
+        kind = (machine_type, zone, spot)
+        refused_until[kind] = max(until, refused_until.get(kind, until))
 
     def _drop(self, hire: Hire) -> None:
         self._hires.pop(hire.name, None)
@@ -263,8 +284,11 @@
     def _survey(self, machine: Machine, survey: _Survey, now: float) -> None:
         """Count a machine that should be heard, ask it if it is not, and end what it can't hold any more."""
         times = self._ctx.times
+        heard = now - machine.last_report <= times.lost_s
         survey.up += 1
-        survey.heard += now - machine.last_report <= times.lost_s
+        survey.heard += heard
+        survey.zones_up[machine.zone] += 1
+        survey.zones_heard[machine.zone] += heard
         quiet_s = self._quiet_s(machine, now)
         survey.quiet += quiet_s > times.lost_s / 2
         if quiet_s > times.silent_s / 2:
@@ -293,13 +317,29 @@
             # off the first ones were deleted, up to a quarter of all, before the rest had been silent long
             # enough. And when it is back they don't all come at one moment.
             self._many_quiet_at = now
+        silent_zones = survey.silent_zones()
+        self._keep_out_of(silent_zones, now)
         for machine in silent:
             # A zone that is cut off comes back with all its machines: its tasks start elsewhere once its
             # leases are over, but machines are given up for good only a good while behind that.
             heard_at = max(machine.last_report, machine.up_at, self._attempts.began_at)
-            if now - self._many_quiet_at > times.lost_s or now - heard_at > 2 * times.cancel_s:
+            if machine.zone in silent_zones:
+                # Others in their place would be no more use there, and have to boot when the zone is back:
+                # 39 machines were given up 20 s before that, and their tasks waited for 50 s more. Those
+                # that are dead are listed as failed meanwhile.
+                given_up = now - heard_at > _ZONE_PATIENCE * times.cancel_s
+            else:
+                given_up = now - self._many_quiet_at > times.lost_s or now - heard_at > 2 * times.cancel_s
+            if given_up:
                 self._mark_for_deletion(machine, "silent")
 
+    def _keep_out_of(self, zones: set[str], now: float) -> None:
+        """Rent nothing in zones that nothing is heard of: nobody could use it there."""
+        for machine_type in self._ctx.machine_types.values():
+            for zone in zones.intersection(machine_type.zones):
+                for spot in (False, True):
+                    self._refuse(machine_type.name, zone, spot, now + self._ctx.times.report_s)
+
     def _lost_to_others(self, now: float) -> int:
         """How many workers have turned to another controller since they reported here last.
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -20,7 +20,7 @@
 from poppyhold.fleet import DONE, NOTHING, Job, Machine, Room, how_many
 from poppyhold.gang_placement import GangPlacement
 from poppyhold.gangs import Gangs, GangState
-from poppyhold.hiring import Hiring
+from poppyhold.hiring import Hiring, _Survey
 from poppyhold.placement import Quotas
 from poppyhold.relocation import Relocation
 from poppyhold.settings import NextState, Objective, Team
@@ -375,6 +375,10 @@
     return max(map(len, self._ctx.edges.passed_on()), default=0)
 
 
+def _no_zones(*_: object) -> set[str]:
+    return set()
+
+
 def _no_room(*_: object) -> tuple[float, float, float]:
     return NOTHING
 
@@ -459,6 +463,8 @@
     ("gang_done_by_one_report", Job, "complete", _complete_one),
     ("gang_unsure_start", Attempts, "raise_token", _always),
     ("zone_partition", Connectivity, "better_placed", _never),
+    ("zone_cut_keeps_machines", _Survey, "silent_zones", _no_zones),
+    ("zone_cut_keeps_machines", Hiring, "_keep_out_of", _never),
     ("image_holders_make_room", Relocation, "make_room", _never),
     ("image_holders_keep_equals", Relocation, "_may_move_to", _always),
 ]
