--- a/src/poppyhold/settings.py
+++ b/src/poppyhold/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import tomllib
+from collections import Counter
 from pathlib import Path
 
 import msgspec
@@ -231,10 +232,41 @@
             if not 0 < value < float("inf"):
                 raise ConfigError(f"settings.{section}.{name}: must be above 0")
     _check_next(deployment.state.next)
+    _check_zones(settings)
+    _check_teams(deployment.teams)
     if deployment.workers.cancel_s <= deployment.workers.lease_s:
         raise ConfigError("settings.workers.cancel_s: must be above lease_s")
 
 
+def _check_zones(settings: Settings) -> None:
+    """Each zone is named once, each controller stands in one of them, and none of them is there twice."""
+    zones = settings.settings.zones
+    if not zones:
+        raise ConfigError("settings.zones: must name a zone")
+    _check_unique("settings.zones", zones)
+    _check_unique("known.member", [settings.member, *(peer.member for peer in settings.known)])
+    if settings.domain not in zones:
+        raise ConfigError(f"domain: {settings.domain!r} is not in settings.zones")
+    for peer in settings.known:
+        if peer.domain not in zones:
+            raise ConfigError(f"known.{peer.member}.domain: {peer.domain!r} is not in settings.zones")
+
+
+def _check_teams(teams: list[Team]) -> None:
+    """Each team is named once, with amounts that can be."""
+    _check_unique("settings.teams.name", [team.name for team in teams])
+    for team in teams:
+        for name in ("cpus", "cpus_max", "gpus", "gpus_max"):
+            if not 0 <= getattr(team, name) < float("inf"):
+                raise ConfigError(f"settings.teams.{team.name}.{name}: must not be below 0")
+
+
+def _check_unique(field: str, names: list[str]) -> None:
+    twice = next((name for name, times in Counter(names).items() if times > 1), None)
+    if twice is not None:
+        raise ConfigError(f"{field}: {twice!r} is there twice")
+
+
 def _check_next(limits: NextState | None) -> None:
     for name in ("rps", "write_rps", "value_kb", "txn_ops"):
         value = getattr(limits, name, None)
--- a/tests/mix.py
+++ b/tests/mix.py
@@ -1,6 +1,8 @@
 """Days of overlapping troubles, drawn from a seed, in the words of the scenarios.
 
-`python tests/mix.py FIRST DAYS` plays more of them than the tests do, and prints those that break a rule.
+`python tests/mix.py FIRST DAYS [ZONES]` plays more of them than the tests do, and prints those that break a
+rule. ZONES are letters, `ab` where none are named; with `abc` each zone has a controller, and two may be kept
+apart.
 """
 
 from __future__ import annotations
@@ -11,9 +13,13 @@
 
 # Troubles end by here, and behind it everything has the time to come to its end.
 CALM_S, END_S = 140.0, 320.0
+# With more zones than this, two can be kept apart that both reach another one; so often a meeting has that.
+_TWO, _PARTITIONS = 2, 0.6
+# Words of a command line that names no zones.
+_WITHOUT_ZONES = 3
 
 
-def _trouble(rng: random.Random, at: float) -> str:
+def _trouble(rng: random.Random, at: float, zones: str) -> str:
     """One trouble; the moments of those that belong together are close."""
     short, long = rng.uniform(1.0, 8.0), min(rng.uniform(8.0, 48.0), CALM_S - at)
     machine = f"vm-{rng.randrange(1, 9):06d}"
@@ -22,6 +28,7 @@
     kind = rng.choice(["hang", "hold", "late", "deaf", "mute", "silent"])
     return rng.choice(
         [
+            *([f"partition {_pair(rng, zones)} for {long:.1f}"] * 3 if len(zones) > _TWO else []),
             f"crash {nodes} for {rng.choice([0.3, 1.0, short, long / 2]):.2f}",
             f"roll {rng.uniform(1.0, 12.0):.1f}",
             f"refuse leader for {long:.1f}",
@@ -30,7 +37,7 @@
             f"freeze leader for {rng.choice([short, long / 2]):.1f}",
             f"outage state for {long:.1f}",
             f"outage cloud for {long:.1f}",
-            f"cut {rng.choice('ab')} for {long:.1f}",
+            f"cut {rng.choice(zones)} for {long:.1f}",
             f"late_writes {share} for {long:.1f}",
             f"lost_answers {share} for {long:.1f}",
             f"late_reports {share} for {long:.1f}",
@@ -50,13 +57,43 @@
     )
 
 
-def _meeting(rng: random.Random, at: float, cancel_s: float) -> list[tuple[float, str]]:
+def _pair(rng: random.Random, zones: str) -> str:
+    """Two of the zones."""
+    return ",".join(rng.sample(zones, 2))
+
+
+def _partition_meeting(rng: random.Random, zones: str, away: float) -> list[tuple[float, str]]:
+    """Two zones that can't reach each other, and something else at a bad moment of it."""
+    soon, cancel = rng.uniform(0.0, 4.0), f"cancel_now {rng.randrange(1, 5)} hang {rng.choice([0.0, 9.0])}"
+    apart = (0.0, f"partition {_pair(rng, zones)} for {away:.1f}")
+    return rng.choice(
+        [
+            [apart, (soon, cancel), (soon + 4, cancel)],
+            [apart, (soon, "crash leader for 3"), (soon + 1, cancel)],
+            [apart, (soon + 2, "crash all for 4"), (soon + 3, cancel)],
+            [apart, (soon, cancel), (soon + 1, f"outage state for {away:.1f}")],
+            [apart, (soon, cancel), (soon + 6, "refuse leader for 12")],
+            [
+                (0.0, f"cut {rng.choice(zones)} for {away / 2:.1f}"),
+                (away / 3, apart[1]),
+                (away / 3 + 1, cancel),
+            ],
+            [apart, (soon, cancel), (soon + 1, "isolate leader for 14")],
+            [(0.0, "trouble late all for 3"), (0.5, apart[1]), (1.0, cancel)],
+            [(0.0, "late_writes 0.5 for 20"), apart, (soon, cancel)],
+        ]
+    )
+
+
+def _meeting(rng: random.Random, at: float, cancel_s: float, zones: str) -> list[tuple[float, str]]:
     """Troubles that belong together, each at a bad moment of the others."""
     machine = f"vm-{rng.randrange(1, 5):06d}"
     soon, few = rng.uniform(0.0, 1.5), rng.randrange(1, 5)
     hang = rng.choice([0.0, 6.0, 9.0])
     away = min(cancel_s + rng.uniform(2.0, 12.0), CALM_S - at - 3.0)
     cancel = f"cancel_now {few} hang {hang}"
+    if len(zones) > _TWO and rng.random() < _PARTITIONS:
+        return _partition_meeting(rng, zones, away)
     return rng.choice(
         [
             [
@@ -71,11 +108,11 @@
             ],
             [(0.0, f"isolate leader for {away:.1f}"), (soon, cancel), (soon + 5, cancel)],
             [
-                (0.0, f"cut {rng.choice('ab')} for {away:.1f}"),
+                (0.0, f"cut {rng.choice(zones)} for {away:.1f}"),
                 (soon, cancel),
                 (soon + 3, "crash leader for 3"),
             ],
-            [(0.0, cancel), (soon / 10, f"cut {rng.choice('ab')} for {away:.1f}")],
+            [(0.0, cancel), (soon / 10, f"cut {rng.choice(zones)} for {away:.1f}")],
             [(0.0, "trouble late all for 2"), (0.3, cancel), (soon, "crash leader for 1")],
             [(0.0, "trouble mute all for 4"), (soon, "crash leader for 4"), (soon + 1, cancel)],
             [(0.0, f"trouble hold {machine} for 20"), (soon, cancel), (soon + 1, "crash leader for 5")],
@@ -97,7 +134,7 @@
     )
 
 
-def _job(rng: random.Random) -> dict[str, str]:
+def _job(rng: random.Random, zones: str) -> dict[str, str]:
     """What a user submits."""
     fields = {"crew": rng.choice(["alpha", "alpha", "beta"])}
     if rng.random() < 0.5:
@@ -139,10 +176,10 @@
     return fields
 
 
-def _events(rng: random.Random, cancel_s: float) -> Iterator[tuple[float, str]]:
+def _events(rng: random.Random, cancel_s: float, zones: str) -> Iterator[tuple[float, str]]:
     standing = 0
     for number in range(rng.randrange(14, 30)):
-        job_id, at, job = f"job-{number:06d}", rng.uniform(2.0, 110.0), _job(rng)
+        job_id, at, job = f"job-{number:06d}", rng.uniform(2.0, 110.0), _job(rng, zones)
         yield at, f"submit {job_id} {' '.join(f'{name}={value}' for name, value in job.items())}"
         if rng.random() < 0.25:
             yield at + rng.choice([0.0, rng.uniform(0.0, 30.0)]), f"cancel {job_id}"
@@ -154,11 +191,11 @@
                 yield rng.uniform(at + 20.0, CALM_S), f"cancel {job_id}"
     for _ in range(rng.randrange(2, 4)):
         begin = rng.uniform(10.0, 80.0)
-        for later, text in _meeting(rng, begin, cancel_s):
+        for later, text in _meeting(rng, begin, cancel_s, zones):
             yield begin + later, text
     for _ in range(rng.randrange(2, 5)):
         at = rng.uniform(8.0, 100.0)
-        yield at, _trouble(rng, at)
+        yield at, _trouble(rng, at, zones)
     # Last, so that what a seed draws beside them stays as it was.
     for number in range(500, 500 + rng.randrange(2, 7)):
         job_id, at, gang = f"job-{number:06d}", rng.uniform(2.0, 110.0), _gang(rng)
@@ -167,21 +204,20 @@
             yield at + rng.choice([0.0, rng.uniform(0.0, 30.0)]), f"cancel {job_id}"
 
 
-def day(seed: int) -> str:
-    """A day as the text of a scenario."""
+def day(seed: int, zones: str = "ab") -> str:
+    """A day as the text of a scenario, in zones that are named by a letter each."""
     rng = random.Random(seed)
     cancel_s = rng.choice([22, 22, 30, 45])
     lines = [
-        f"world limit={rng.choice([8, 10, 14])} lease_s=10 cancel_s={cancel_s}",
-        f"machines small a ordinary {rng.randrange(2, 4)}",
-        f"machines small b ordinary {rng.randrange(2, 4)}",
+        f"world limit={rng.choice([8, 10, 14])} lease_s=10 cancel_s={cancel_s} zones={','.join(zones)}",
+        *(f"machines small {zone} ordinary {rng.randrange(2, 4)}" for zone in zones),
     ]
     lines += [
         f"capacity small {zone} {kind} {number}"
-        for zone in "ab"
+        for zone in zones
         for kind, number in (("ordinary", 12), ("spot", 4))
     ]
-    lines += [f"at {at:.2f} {text}" for at, text in sorted(_events(rng, cancel_s))]
+    lines += [f"at {at:.2f} {text}" for at, text in sorted(_events(rng, cancel_s, zones))]
     return "\n".join([*lines, f"at {CALM_S + 10} calm", f"at {END_S} expect settled", ""])
 
 
@@ -190,9 +226,10 @@
     from test_scenarios import Scenario
 
     first, days = int(sys.argv[1]), int(sys.argv[2])
+    zones = sys.argv[3] if len(sys.argv) > _WITHOUT_ZONES else "ab"
     bad = 0
     for seed in range(first, first + days):
-        scenario = Scenario(day(seed), seed)
+        scenario = Scenario(day(seed, zones), seed)
         scenario.play()
         if scenario.world.broken or scenario.failures:
             bad += 1
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -203,6 +203,10 @@
             load_options(bad)
 
 
+KNOWN = '[[known]]\nmember = "{}"\ndomain = "{}"\naddress = "127.0.0.1:9"\n'
+TEAM = '[[settings.teams]]\nname = "{}"\ngpus_max = {}\n'
+
+
 def test_settings_name_the_field_that_is_wrong(tmp_path: Path) -> None:
     good = """
 member = "a"
@@ -223,6 +227,14 @@
     path = tmp_path / "settings.toml"
     path.write_text(good)
     assert load_settings(path).settings.workers.cancel_s == 30.0
+    # Three zones with a controller each, a team without limits, an objective of a class that none belongs to.
+    path.write_text(
+        good.replace("[outside]", KNOWN.format("b", "y") + KNOWN.format("c", "x") + "[outside]")
+        .replace('zones = ["z"]', 'zones = ["z", "y", "x"]')
+        .replace("[settings.workers]", "[[settings.teams]]\nname = 't'\n[settings.workers]")
+        + "[[settings.objectives]]\nkind = 'wait'\nclass = 'nobody'\n"
+    )
+    assert len(load_settings(path).known) == 2
     for old, new, name in (
         ("count = 1", 'count = "x"', "count"),
         ("127.0.0.1:4", "nowhere", "outside.state"),
@@ -232,6 +244,15 @@
         ("cancel_s = 30.0", "cancel_s = 30.0\ngang_peer_s = -1.0", "gang_peer_s"),
         ("cancel_s = 30.0", "cancel_s = 30.0\n[settings.state.next]\nvalue_kb = 0.0", "next.value_kb"),
         ("cancel_s = 30.0", "cancel_s = 30.0\n[settings.state.next]\ntxn_ops = 2", "next.txn_ops"),
+        ('domain = "z"', 'domain = "y"', "domain: 'y'"),
+        ('zones = ["z"]', "zones = []", "settings.zones"),
+        ('zones = ["z"]', 'zones = ["z", "y", "z"]', "settings.zones: 'z'"),
+        ("[outside]", KNOWN.format("b", "y") + "[outside]", "known.b.domain: 'y'"),
+        ("[outside]", KNOWN.format("b", "z") * 2 + "[outside]", "known.member: 'b'"),
+        ("[outside]", KNOWN.format("a", "z") + "[outside]", "known.member: 'a'"),
+        ("cancel_s = 30.0", "cancel_s = 30.0\n" + TEAM.format("t", 1.0) * 2, "settings.teams.name: 't'"),
+        ("cancel_s = 30.0", "cancel_s = 30.0\n" + TEAM.format("t", -1.0), "settings.teams.t.gpus_max"),
+        ("cancel_s = 30.0", "cancel_s = 30.0\n" + TEAM.format("t", "inf"), "settings.teams.t.gpus_max"),
     ):
         path.write_text(good.replace(old, new))
         with pytest.raises(ConfigError, match=name):
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -353,6 +353,8 @@
 # Days of overlapping troubles; `python tests/mix.py FIRST DAYS` plays more. Without the bound on a blind
 # leader's answers, or without the names of cancellations, some of these break a rule.
 MIXED = (1, 2, 16, 31, 40, 54, 77, 90)
+# The same in three zones with a controller each, with partitions between two of them.
+THREE = (1, 2, 3, 4)
 
 
 def _always(*_: object) -> bool:
@@ -470,9 +472,9 @@
 ]
 
 
-@pytest.mark.parametrize("seed", MIXED)
-def test_mixed_day(seed: int) -> None:
-    text = mix.day(seed)
+@pytest.mark.parametrize(("seed", "zones"), [*((seed, "ab") for seed in MIXED), *((s, "abc") for s in THREE)])
+def test_mixed_day(seed: int, zones: str) -> None:
+    text = mix.day(seed, zones)
     scenario = Scenario(text, seed)
     scenario.play()
     assert scenario.world.broken + scenario.failures == [], f"seed {seed}:\n{text}"
