--- a/src/poppyhold/election.py
+++ b/src/poppyhold/election.py
@@ -101,6 +101,22 @@
             self._end_lease(term.lease_id)
         self._wake.set()
 
+    def hand_over(self, why: str) -> None:
+        """Give the term up only if the state service takes it back: in an outage nobody else could have it.
+
+        A leader that resigned just as an outage began left the fleet without one to its end.
+        """
+        term = self.term
+        if term is None:
+            return
+        try:
+            self._store.end_lease(term.lease_id)
+        except (RefusedError, UncertainError) as error:
+            log.debug("handing over: %s", error)
+            return
+        self._resting_until = time.monotonic() + self._rest_s
+        self.deposed(why)
+
     def deposed(self, why: str) -> None:
         """Our term is over."""
         with self._lock:
--- a/src/poppyhold/service.py
+++ b/src/poppyhold/service.py
@@ -259,8 +259,10 @@
         tasks of the other one to their leases, and could not tell for half a minute what still ran there.
         """
         better = self.peers.connectivity.better_placed(self._times.deputy_after_s)
-        if better is not None:
-            self.election.resign(f"{better} reaches more controllers")
+        view = self.peers.views.get(better) if better is not None else None
+        # Who is to lead must be able to: it heard from the state service lately.
+        if view is not None and time.monotonic() - view.contact_at < self.election.life_s:
+            self.election.hand_over(f"{better} reaches more controllers")
 
     def _refused(self, member: str) -> None:
         leader = self.election.leader
--- a/tests/sim_node.py
+++ b/tests/sim_node.py
@@ -396,7 +396,7 @@
         leader_term = self.leader_term
         if leader_term is not None:
             better = self.connectivity.better_placed(self.times.deputy_after_s)
-            if better is not None:
+            if better is not None and not (world.state.down or self.refused):
                 leader_term.resign(f"{better} reaches more controllers")
                 return
             leader_term.controller.tick()
--- a/tests/test_connectivity.py
+++ b/tests/test_connectivity.py
@@ -2,7 +2,14 @@
 
 from __future__ import annotations
 
+import pytest
+
 from poppyhold.connectivity import Connectivity
+from poppyhold.election import Election, Term
+from poppyhold.options import Options
+from poppyhold.settings import Team
+from poppyhold.store import RefusedError, Store, UncertainError
+from world import World
 
 
 class Clock:
@@ -83,3 +90,37 @@
     clock.now = 2.5
     links.answered("b", ["a", "c"])
     assert links.better_placed(unheard_s=2.5) == "b"
+
+
+class Ending(Store):
+    """A state service that takes back leases, or does not."""
+
+    def __init__(self, error: Exception | None) -> None:
+        self.error = error
+        self.ended: list[int] = []
+
+    def end_lease(self, lease_id: int) -> None:
+        if self.error is not None:
+            raise self.error
+        self.ended.append(lease_id)
+
+
+@pytest.mark.parametrize("error", [None, RefusedError("503"), UncertainError("lost")], ids=str)
+def test_a_lead_is_handed_over_only_if_the_state_service_takes_it_back(error: Exception | None) -> None:
+    # In a run a leader resigned as an outage began, and nobody led for 50 s.
+    store, deposed = Ending(error), []
+    world = World(1, 10.0, 30.0, [Team("alpha")])
+    election = Election(
+        world.settings,
+        Options(),
+        store,
+        lambda term: None,
+        lambda: deposed.append(True),
+        lambda: False,
+        world.rng,
+    )
+    election.term = Term(5, 40, 7, 0.0)
+    election.hand_over("another one reaches more")
+    assert (election.term is None, deposed, store.ended) == (
+        (True, [True], [7]) if error is None else (False, [], [])
+    )
