--- a/src/poppyhold/hiring.py
+++ b/src/poppyhold/hiring.py
@@ -281,6 +281,15 @@
         # It was up, and was asked when our term began: a sound worker answers that at once.
         return now - began + times.lost_s / 2
 
+    def _is_quiet(self, quiet_s: float) -> bool:
+        """Whether a machine counts among those that may be silent for one and the same reason.
+
+        Those of earlier terms are asked as a term begins. They have the time to answer before they count, or
+        all of them would, and a few that hang would keep older jobs waiting for twice as long.
+        """
+        times = self._ctx.times
+        return quiet_s > times.lost_s / 2 + times.report_s / 2
+
     def _survey(self, machine: Machine, survey: _Survey, now: float) -> None:
         """Count a machine that should be heard, ask it if it is not, and end what it can't hold any more."""
         times = self._ctx.times
@@ -290,7 +299,7 @@
         survey.zones_up[machine.zone] += 1
         survey.zones_heard[machine.zone] += heard
         quiet_s = self._quiet_s(machine, now)
-        survey.quiet += quiet_s > times.lost_s / 2
+        survey.quiet += self._is_quiet(quiet_s)
         if quiet_s > times.silent_s / 2:
             self._attempts.probe(machine, now)
         if quiet_s > times.lost_s:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -465,6 +465,7 @@
     ("gang_done_by_one_report", Job, "complete", _complete_one),
     ("gang_unsure_start", Attempts, "raise_token", _always),
     ("zone_partition", Connectivity, "better_placed", _never),
+    ("few_hang_at_change_of_leader", Hiring, "_is_quiet", _always),
     ("zone_cut_keeps_machines", _Survey, "silent_zones", _no_zones),
     ("zone_cut_keeps_machines", Hiring, "_keep_out_of", _never),
     ("image_holders_make_room", Relocation, "make_room", _never),
