--- /dev/null
+++ b/src/poppyhold/deletions.py
@@ -0,0 +1,63 @@
+"""Deleting machines: marked first, so that nothing starts on them, and gone once the cloud has said so."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from poppyhold.attempts import Attempts
+from poppyhold.context import Context
+from poppyhold.fleet import Machine
+from poppyhold.store import MACHINE, remove
+
+log = logging.getLogger(__name__)
+
+DELETE_LIMIT = 100
+# Names in a line of the log.
+_NAMED = 8
+
+
+class Deletions:
+    """Machines that are to be deleted, a request at a time."""
+
+    def __init__(self, ctx: Context, attempts: Attempts, on_gone: Callable[[Machine], None]) -> None:
+        self._ctx, self._attempts, self._on_gone = ctx, attempts, on_gone
+        self._asked = False
+        # Machines that were not told of yet, by reason: hundreds go at one moment at times.
+        self._unlogged: dict[str, list[str]] = {}
+
+    def mark(self, machine: Machine, why: str) -> None:
+        """Delete a machine: from now on nothing starts on it, whether or not an answer comes soon."""
+        if not machine.deleting:
+            machine.deleting = True
+            self._unlogged.setdefault(why, []).append(machine.name)
+
+    def carry_out(self) -> None:
+        """Ask the cloud to delete what is marked."""
+        for why, names in self._unlogged.items():
+            log.info("delete %d machines: %s: %s", len(names), why, ", ".join(names[:_NAMED]))
+        self._unlogged.clear()
+        # Who is not sure to lead must not delete: workers that it misses may have gone to the next leader.
+        if self._asked or not self._ctx.edges.may_start():
+            return
+        names = [m.name for m in self._ctx.fleet.machines.values() if m.deleting][:DELETE_LIMIT]
+        if not names:
+            return
+        self._asked = True
+
+        def deleted(done: bool) -> None:
+            self._asked = False
+            if done:
+                for name in names:
+                    machine = self._ctx.fleet.machines.get(name)
+                    if machine is not None:
+                        self._gone(machine)
+
+        self._ctx.edges.delete(names, deleted)
+
+    def _gone(self, machine: Machine) -> None:
+        recorded = machine.recorded or machine.record_asked
+        self._attempts.gone(machine)
+        self._on_gone(machine)
+        if recorded:
+            self._ctx.edges.commit({}, [remove(MACHINE + machine.name)], lambda done: None)
--- /dev/null
+++ b/src/poppyhold/machine_list.py
@@ -0,0 +1,79 @@
+"""The cloud's list of machines. It lags: that a machine is missing from it proves nothing."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from poppyhold.context import Context
+from poppyhold.deletions import Deletions
+from poppyhold.fleet import Machine
+from poppyhold.messages import Listed
+
+# Lists may name a machine that was deleted for so many times their usual lag.
+_LAGS_REMEMBERED = 40
+# A machine that no list has shown for so many times the lag is most likely gone.
+_LAGS_MISSING = 3
+
+
+class MachineList:
+    """Keeps the fleet's machines in step with the lists."""
+
+    def __init__(self, ctx: Context, deletions: Deletions) -> None:
+        self._ctx, self._deletions = ctx, deletions
+
+    def take(self, entries: Iterable[Listed]) -> None:
+        """Take what a list shows. That a machine is missing from it proves nothing."""
+        ctx = self._ctx
+        now = ctx.clock()
+        lag = ctx.settings.settings.cloud.list_lag_s
+        for name, at in list(ctx.dead.items()):
+            if now - at > _LAGS_REMEMBERED * lag:
+                del ctx.dead[name]
+        present = set()
+        for entry in entries:
+            present.add(entry.name)
+            self._take_entry(entry, now)
+        for machine in list(ctx.fleet.machines.values()):
+            seen_at = max(machine.since, machine.listed_at, machine.last_report)
+            if machine.name not in present and not machine.deleting and now - seen_at > _LAGS_MISSING * lag:
+                self._not_listed(machine)
+
+    def _take_entry(self, entry: Listed, now: float) -> None:
+        """A machine is on the list."""
+        machine = self._ctx.fleet.machines.get(entry.name)
+        if machine is None:
+            machine = self._found(entry, now)
+            if machine is None:
+                return
+        else:
+            machine.listed_at = now
+        if entry.endpoint and not machine.endpoint:
+            machine.endpoint = entry.endpoint
+        if entry.status == "failed":
+            self._deletions.mark(machine, "failed")
+        elif not machine.up:
+            machine.since = min(machine.since, now - entry.age_s)
+
+    def _found(self, entry: Listed, now: float) -> Machine | None:
+        """A machine that we did not know: a late hire, or one of an earlier leader."""
+        ctx = self._ctx
+        machine_type = ctx.machine_types.get(entry.machine_type)
+        if machine_type is None or entry.name in ctx.dead:
+            return None
+        machine = Machine(entry.name, machine_type, entry.zone, entry.spot, since=now - entry.age_s)
+        ctx.fleet.machines[entry.name] = machine
+        ctx.dirty = True
+        return machine
+
+    def _not_listed(self, machine: Machine) -> None:
+        """A machine that should be listed is not: an earlier leader returned it, most likely.
+
+        If it never was up it holds no tasks, and if it does come up after all its reports bring it back.
+        Otherwise that it is missing proves nothing; that it is deleted does. Until then what it may hold is
+        charged to every team, and tasks of older jobs wait, up to the certain end of its last lease, with
+        each leader anew.
+        """
+        if machine.up:
+            self._deletions.mark(machine, "not listed")
+        else:
+            self._ctx.fleet.machines.pop(machine.name)
--- /dev/null
+++ b/src/poppyhold/machine_monitor.py
@@ -0,0 +1,174 @@
+"""Machines that are silent, at fault, or never came up: which of them are lost, and which are cut off."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import msgspec
+
+from poppyhold.attempts import Attempts
+from poppyhold.context import Context
+from poppyhold.deletions import Deletions
+from poppyhold.fleet import Machine
+from poppyhold.provisioning import Provisioning
+
+# A job that fails on no more machines than this may be sound.
+_FEW_MACHINES = 2
+# Machines of one zone that must all be silent to take the zone for cut off; fewer may have died together.
+_FEWEST_OF_A_ZONE = 3
+# Silence of such a zone behind which its machines are given up, as a multiple of `cancel_s`.
+_ZONE_PATIENCE = 8
+
+
+class Survey(msgspec.Struct, eq=False):
+    """How many machines are up, heard and quiet, and those that are silent for too long."""
+
+    up: int = 0
+    heard: int = 0
+    quiet: int = 0
+    silent: list[Machine] = msgspec.field(default_factory=list)
+    # By zone: machines that are up, and those of them that were heard lately.
+    zones_up: Counter[str] = msgspec.field(default_factory=Counter)
+    zones_heard: Counter[str] = msgspec.field(default_factory=Counter)
+
+    def silent_zones(self) -> set[str]:
+        """Zones whose machines are all silent: most likely they are cut off, and come back together."""
+        return {
+            zone
+            for zone, up in self.zones_up.items()
+            if up >= _FEWEST_OF_A_ZONE and not self.zones_heard[zone]
+        }
+
+
+class MachineMonitor:
+    """Looks after the machines that should be heard."""
+
+    def __init__(
+        self, ctx: Context, attempts: Attempts, deletions: Deletions, provisioning: Provisioning
+    ) -> None:
+        self._ctx, self._attempts = ctx, attempts
+        self._deletions, self._provisioning = deletions, provisioning
+        # When many machines were silent last.
+        self._many_quiet_at = float("-inf")
+
+    def watch(self) -> None:
+        """Look after machines that are silent, that never came up, or that are to be deleted."""
+        now = self._ctx.clock()
+        survey = Survey()
+        for machine in self._ctx.fleet.machines.values():
+            if machine.deleting:
+                # The cloud may not answer for long; the end of a lease is proof too.
+                if now - machine.last_report > self._ctx.times.lease_s:
+                    self._attempts.expire(machine, now)
+            elif machine.up or machine.name in self._attempts.unheard:
+                self._survey(machine, survey, now)
+            elif now - machine.since > self._provisioning.give_up_s(machine.machine_type):
+                self._deletions.mark(machine, "never came up")
+        self._judge_silence(survey, now)
+        for machine in self._ctx.fleet.machines.values():
+            gone = not machine.attempts and machine.name not in self._attempts.unheard
+            if gone and (machine.leaving or machine.draining):
+                self._deletions.mark(machine, "left")
+        self._deletions.carry_out()
+
+    def _quiet_s(self, machine: Machine, now: float) -> float:
+        """For how long a machine has been silent, as far as we could have heard it."""
+        times, began = self._ctx.times, self._attempts.began_at
+        if machine.heard or machine.name not in self._attempts.unheard:
+            return now - max(machine.last_report, machine.up_at, began + times.report_s * 2)
+        # It was up, and was asked when our term began: a sound worker answers that at once.
+        return now - began + times.lost_s / 2
+
+    def _is_quiet(self, quiet_s: float) -> bool:
+        """Whether a machine counts among those that may be silent for one and the same reason.
+
+        Those of earlier terms are asked as a term begins. They have the time to answer before they count, or
+        all of them would, and a few that hang would keep older jobs waiting for twice as long.
+        """
+        times = self._ctx.times
+        return quiet_s > times.lost_s / 2 + times.report_s / 2
+
+    def _survey(self, machine: Machine, survey: Survey, now: float) -> None:
+        """Count a machine that should be heard, ask it if it is not, and end what it can't hold any more."""
+        times = self._ctx.times
+        heard = now - machine.last_report <= times.lost_s
+        survey.up += 1
+        survey.heard += heard
+        survey.zones_up[machine.zone] += 1
+        survey.zones_heard[machine.zone] += heard
+        quiet_s = self._quiet_s(machine, now)
+        survey.quiet += self._is_quiet(quiet_s)
+        if quiet_s > times.silent_s / 2:
+            self._attempts.probe(machine, now)
+        if quiet_s > times.lost_s:
+            if machine.taken_back_at is not None and now > machine.taken_back_at - times.lost_s:
+                self._deletions.mark(machine, "recalled")
+            else:
+                survey.silent.append(machine)
+        if quiet_s > times.lease_s:
+            self._attempts.expire(machine, now)
+        if len(machine.errors) > 1 and self._at_fault(machine):
+            machine.leaving = True
+
+    def _judge_silence(self, survey: Survey, now: float) -> None:
+        """Whether silent machines are lost, or cut off, or we are."""
+        times, silent = self._ctx.times, survey.silent
+        most_silent = len(silent) * 2 >= survey.up and len(silent) > 1
+        if most_silent and self._lost_to_others(now) > 2 * survey.heard:
+            # They try the other controllers: it is our own way to them that is broken. Where a zone is cut
+            # off, half of all are silent too, and those that came to us passed the others on their way: with
+            # each new leader resigning for that, nothing was started for the length of the cut.
+            self._ctx.edges.resign("most workers are silent")
+        if survey.quiet > max(1, survey.up // 4):
+            # Those that fall silent with others count as soon as they might be missed: in a zone that is cut
+            # off the first ones were deleted, up to a quarter of all, before the rest had been silent long
+            # enough. And when it is back they don't all come at one moment.
+            self._many_quiet_at = now
+        silent_zones = survey.silent_zones()
+        self._keep_out_of(silent_zones, now)
+        for machine in silent:
+            # A zone that is cut off comes back with all its machines: its tasks start elsewhere once its
+            # leases are over, but machines are given up for good only a good while behind that.
+            heard_at = max(machine.last_report, machine.up_at, self._attempts.began_at)
+            if machine.zone in silent_zones:
+                # Others in their place would be no more use there, and have to boot when the zone is back:
+                # 39 machines were given up 20 s before that, and their tasks waited for 50 s more. Those
+                # that are dead are listed as failed meanwhile.
+                given_up = now - heard_at > _ZONE_PATIENCE * times.cancel_s
+            else:
+                given_up = now - self._many_quiet_at > times.lost_s or now - heard_at > 2 * times.cancel_s
+            if given_up:
+                self._deletions.mark(machine, "silent")
+
+    def _keep_out_of(self, zones: set[str], now: float) -> None:
+        """Rent nothing in zones that nothing is heard of: nobody could use it there."""
+        for machine_type in self._ctx.machine_types.values():
+            for zone in zones.intersection(machine_type.zones):
+                for spot in (False, True):
+                    until = now + self._ctx.times.report_s
+                    self._provisioning.refuse(machine_type.name, zone, spot, until)
+
+    def _lost_to_others(self, now: float) -> int:
+        """How many workers have turned to another controller since they reported here last.
+
+        A copy of an old report is none that turned away. Who has just begun to lead has no reports to compare
+        with, and gives them the time to come.
+        """
+        if now - self._attempts.began_at < self._ctx.times.lease_s:
+            return 0
+        machines = self._ctx.fleet.machines
+
+        def newer(box: str, session: int, sequence: int) -> bool:
+            machine = machines.get(box)
+            return machine is not None and (session, sequence) > (machine.session, machine.sequence)
+
+        passed_on = self._ctx.edges.passed_on()
+        return max((sum(newer(*passed) for passed in there) for there in passed_on), default=0)
+
+    def _at_fault(self, machine: Machine) -> bool:
+        """Whether different jobs fail on it that do not fail elsewhere as well.
+
+        A job with a mistake in it fails on every machine: two of those must not cost the whole fleet.
+        """
+        jobs = [self._ctx.fleet.jobs.get(job_id) for job_id in machine.errors]
+        return sum(1 for job in jobs if job is not None and len(job.failed_on) <= _FEW_MACHINES) > 1
--- a/src/poppyhold/provisioning.py
+++ b/src/poppyhold/provisioning.py
@@ -170,6 +170,11 @@
         # (build, zone, spot) -> until when the cloud is not asked again.
         self.refused_until: dict[tuple[str, str, bool], float] = {}
 
+    def refuse(self, machine_type: str, zone: str, spot: bool, until: float) -> None:
+        """Don't ask for machines of a kind before a moment."""
+        kind = (machine_type, zone, spot)
+        self.refused_until[kind] = max(until, self.refused_until.get(kind, until))
+
     def keep_s(self, machine_type: MachineType) -> float:
         """How long an unneeded machine is kept."""
         return machine_type.boot_s * self._options.keep_boots
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -20,7 +20,8 @@
 from poppyhold.fleet import DONE, NOTHING, Job, Machine, Room, how_many
 from poppyhold.gang_placement import GangPlacement
 from poppyhold.gangs import Gangs, GangState
-from poppyhold.hiring import Hiring, _Survey
+from poppyhold.hires import Hires
+from poppyhold.machine_monitor import MachineMonitor, Survey
 from poppyhold.placement import Quotas
 from poppyhold.relocation import Relocation
 from poppyhold.settings import NextState, Objective, Team
@@ -373,7 +374,7 @@
     return []
 
 
-def _all_of_them(self: Hiring, now: float) -> int:
+def _all_of_them(self: MachineMonitor, now: float) -> int:
     return max(map(len, self._ctx.edges.passed_on()), default=0)
 
 
@@ -394,7 +395,7 @@
     self._clear_at[member] = asked
 
 
-def _count_nothing(self: Hiring, name: str, data: object) -> None:
+def _count_nothing(self: Hires, name: str, data: object) -> None:
     """Hires of earlier leaders are forgotten."""
 
 
@@ -434,14 +435,14 @@
     ("held_start_after_leader_change", Attempts, "_absence_proves", _always),
     ("limit_while_unreachable", Quotas, "allows", _always),
     ("isolated_leader", Authority, "may_answer", _always),
-    ("lost_hire_answer", Hiring, "load_hire", _count_nothing),
+    ("lost_hire_answer", Hires, "load", _count_nothing),
     ("done_before_reap", Attempts, "_may_reap", _always),
     ("large_fleet", Pass, "claim", _unlike),
     ("zone_cut", Deputy, "may_answer", _never),
     ("zone_cut_long", Deputies, "until", _long_ago),
     ("cancelled_before_the_cut", Controller, "excluded_machines", _nobody),
     ("limit_and_cancelled", Dispatcher, "_unknown_use", _no_room),
-    ("mute_machines_and_copies", Hiring, "_lost_to_others", _all_of_them),
+    ("mute_machines_and_copies", MachineMonitor, "_lost_to_others", _all_of_them),
     ("deaf_machine", Attempts, "_ignores_answers", _never),
     ("gap", Cancellations, "named", _told_nothing),
     ("gap", Authority, "learned", _never),
@@ -465,9 +466,9 @@
     ("gang_done_by_one_report", Job, "complete", _complete_one),
     ("gang_unsure_start", Attempts, "raise_token", _always),
     ("zone_partition", Connectivity, "better_placed", _never),
-    ("few_hang_at_change_of_leader", Hiring, "_is_quiet", _always),
-    ("zone_cut_keeps_machines", _Survey, "silent_zones", _no_zones),
-    ("zone_cut_keeps_machines", Hiring, "_keep_out_of", _never),
+    ("few_hang_at_change_of_leader", MachineMonitor, "_is_quiet", _always),
+    ("zone_cut_keeps_machines", Survey, "silent_zones", _no_zones),
+    ("zone_cut_keeps_machines", MachineMonitor, "_keep_out_of", _never),
     ("image_holders_make_room", Relocation, "make_room", _never),
     ("image_holders_keep_equals", Relocation, "_may_move_to", _always),
 ]
