--- a/src/poppyhold/attempts.py
+++ b/src/poppyhold/attempts.py
@@ -501,7 +501,7 @@
         if machine.heard:
             # It has followed our token, so only we and who stands in for us could renew its lease: as long
             # as nobody else led.
-            answered_at = max(machine.last_answer, self._ctx.edges.deputies_until())
+            answered_at = max(machine.last_answer, self._ctx.edges.proxies_until())
             bound = answered_at + times.lease_over_s
         else:
             # Before our term others answered it, for as long as they could at the most.
--- a/src/poppyhold/context.py
+++ b/src/poppyhold/context.py
@@ -79,7 +79,7 @@
     def confirmed_at(self) -> float:
         """Moment at which nobody else can have led yet."""
 
-    def deputies_until(self) -> float:
+    def proxies_until(self) -> float:
         """Moment behind which no other controller answered a worker in our name."""
 
 
@@ -103,7 +103,7 @@
         self.blind_answers_s = workers.cancel_s - workers.lease_s * 1.002 - workers.report_s * 0.15
         # Who hears neither the leader nor the state service for so long stands in for it. Workers come to
         # it a good four seconds behind a cut, and only some of them have the time to come twice.
-        self.deputy_after_s = max(workers.report_s * 1.5, workers.lease_s / 4)
+        self.proxy_after_s = max(workers.report_s * 1.5, workers.lease_s / 4)
         # Since our term began, nobody else's answers can keep a task alive longer.
         self.others_over_s = workers.cancel_s * 1.001 + workers.report_s
         self.slot_s = workers.lease_s * options.design.slot_leases
--- a/src/poppyhold/leader_term.py
+++ b/src/poppyhold/leader_term.py
@@ -14,9 +14,9 @@
 from poppyhold.committer import Committer, Unit
 from poppyhold.context import CommitRank, Data, Hints, Passed, Times
 from poppyhold.controller import Controller
-from poppyhold.deputy import Deputies, Trust
 from poppyhold.election import Term
 from poppyhold.http import Answer, Deferred, answer
+from poppyhold.lease_proxy import LeaseProxies, Trust
 from poppyhold.messages import MachineType, Report
 from poppyhold.peers import Pong
 from poppyhold.ranked_queue import DECISIONS, REPORTS, SUBMISSIONS, RankedQueue, Work
@@ -48,7 +48,7 @@
         times = Times(node.settings, node.options)
         members = [node.settings.member, *(known.member for known in node.settings.known)]
         self.authority = Authority(times.blind_answers_s, members, term.began_at)
-        self.deputies = Deputies(times, node.skew_s)
+        self.proxies = LeaseProxies(times, node.skew_s)
         self.trust: Trust | None = None
         self.controller = Controller(
             node.settings, node.options, self, term.token, time.monotonic, time.time, node.rng
@@ -295,6 +295,6 @@
         """See `Edges`."""
         return self._node.election.confirmed_at if self.alive else float("-inf")
 
-    def deputies_until(self) -> float:
+    def proxies_until(self) -> float:
         """See `Edges`."""
-        return self.deputies.until(time.monotonic())
+        return self.proxies.until(time.monotonic())
--- a/src/poppyhold/deputy.py
+++ b/src/poppyhold/lease_proxy.py
@@ -1,4 +1,4 @@
-"""Answering workers in the leader's name, where a cut keeps them and this node from it.
+"""Lease proxies: controllers that renew workers' leases in the leader's name, where a cut keeps both from it.
 
 A zone that is cut off goes on working inside, but only as long as somebody there answers its workers. The
 leader tells each controller how far it is sure of its lead and of every cancellation. One that then loses
@@ -29,8 +29,8 @@
     excluded_machines: Sequence[str]
 
 
-class Deputy:
-    """The side of a controller that may have to stand in."""
+class LeaseProxy:
+    """The side of a controller that may have to renew leases for the leader."""
 
     def __init__(
         self, times: Times, skew_s: float, clock: Callable[[], float], wall: Callable[[], float]
@@ -52,7 +52,7 @@
         ``state_at`` is when the state service last answered us, ``known_baton`` that of the leader's key.
         """
         trust, now = self._trust, self._clock()
-        if trust is None or now - max(self._heard_at, state_at) <= self._times.deputy_after_s:
+        if trust is None or now - max(self._heard_at, state_at) <= self._times.proxy_after_s:
             log.debug(
                 "%s: heard %.1f s ago, state %.1f s ago", report.machine, now - self._heard_at, now - state_at
             )
@@ -73,7 +73,7 @@
         return trust.token
 
 
-class Deputies:
+class LeaseProxies:
     """The side of the leader: until when others may have answered workers in its name."""
 
     def __init__(self, times: Times, skew_s: float) -> None:
@@ -100,7 +100,7 @@
         # Without our word for a while it may have stood in: even one that says it did not, for its process
         # may have begun anew since.
         perhaps = self._perhaps.get(member, float("-inf"))
-        if now - self._clear_at[member] <= self._times.deputy_after_s:
+        if now - self._clear_at[member] <= self._times.proxy_after_s:
             return perhaps
         return max(perhaps, min(now, self._told_at[member] + self._longest_s))
 
--- a/src/poppyhold/peers.py
+++ b/src/poppyhold/peers.py
@@ -15,7 +15,7 @@
 from poppyhold.cancellations import Cancellation
 from poppyhold.connectivity import Connectivity
 from poppyhold.context import Hints, Passed
-from poppyhold.deputy import Deputies, Trust
+from poppyhold.lease_proxy import LeaseProxies, Trust
 from poppyhold.settings import Known, Settings, split_address
 
 log = logging.getLogger(__name__)
@@ -103,8 +103,7 @@
 class PeerView(NamedTuple):
     """What we know of another controller."""
 
-    # Moments of its last answer, and of its last word from the state service.
-    heard_at: float
+    # When the state service answered it last.
     contact_at: float
     passed: list[Passed]
 
@@ -121,10 +120,10 @@
         reply: Callable[[Ping], Pong],
         on_pong: Callable[[Pong, float], None],
         on_refused: Callable[[str], None],
-        deputies: Callable[[], Deputies | None],
+        proxies: Callable[[], LeaseProxies | None],
     ) -> None:
         self._settings = settings
-        self._deputies = deputies
+        self._proxies = proxies
         self._describe, self._counts, self._hints = describe, counts, hints
         self._reply, self._on_pong, self._on_refused = reply, on_pong, on_refused
         workers = settings.settings.workers
@@ -193,9 +192,6 @@
             except (OSError, ValueError, msgspec.MsgspecError) as error:
                 log.debug("peer %s: %s", known.member, error)
                 self.connectivity.lost(known.member)
-                view = self.views.get(known.member)
-                if view is not None:
-                    self.views[known.member] = view._replace(heard_at=float("-inf"))
                 if isinstance(error, ConnectionRefusedError):
                     self._on_refused(known.member)
             except Exception:
@@ -213,9 +209,9 @@
             images = [(box, held) for box, held in hints.items() if told.get(box) != held]
             told = hints
             asked = time.monotonic()
-            deputies = self._deputies()
-            if deputies is not None:
-                deputies.telling(known.member, asked)
+            proxies = self._proxies()
+            if proxies is not None:
+                proxies.telling(known.member, asked)
             send(connection, msgspec.structs.replace(self._describe(), counts=changed, images=images))
             message = receive(connection)
             if not isinstance(message, Pong) or message.member != known.member:
@@ -223,11 +219,11 @@
                 raise ValueError(f"not a pong of {known.member}")
             self._note(known.member, message, asked)
             self.connectivity.answered(known.member, message.hears)
-            if deputies is not None:
-                deputies.answered(known.member, asked)
+            if proxies is not None:
+                proxies.answered(known.member, asked)
             self._on_pong(message, asked)
             self._stop.wait(self._every_s)
 
     def _note(self, member: str, pong: Pong, asked: float) -> None:
         contact_at = asked - pong.state_age_s
-        self.views[member] = PeerView(time.monotonic(), contact_at, pong.passed)
+        self.views[member] = PeerView(contact_at, pong.passed)
--- a/src/poppyhold/service.py
+++ b/src/poppyhold/service.py
@@ -10,10 +10,10 @@
 from poppyhold.cancellations import Cancellation
 from poppyhold.cloud import CloudClient
 from poppyhold.context import Hints, Passed, Times
-from poppyhold.deputy import Deputies, Deputy
 from poppyhold.election import Election, Leader, Term
 from poppyhold.http import Answer, Deferred, Server, answer
 from poppyhold.leader_term import LeaderTerm
+from poppyhold.lease_proxy import LeaseProxies, LeaseProxy
 from poppyhold.machine_types import machine_type_records, read_machine_types
 from poppyhold.messages import MachineType, MalformedError, Report, decode, parse_report, report_answer
 from poppyhold.options import Options
@@ -67,10 +67,10 @@
             self._reply,
             self._on_pong,
             self._refused,
-            self._deputies,
+            self._proxies,
         )
         workers = settings.settings.workers
-        self.deputy = Deputy(self._times, self.skew_s, time.monotonic, time.time)
+        self.lease_proxy = LeaseProxy(self._times, self.skew_s, time.monotonic, time.time)
         # Behind this a worker has given up the answer, as PROTOCOL says: it comes at once or not at all.
         self._report_timeout = min(workers.report_s * 2.5, _WORKER_PATIENCE_S * 0.75)
         # A worker that is not told where to go tries another node a second later. Where all nodes have just
@@ -165,9 +165,9 @@
         leader_term = self._leader_term
         return leader_term.hints() if leader_term is not None else {}
 
-    def _deputies(self) -> Deputies | None:
+    def _proxies(self) -> LeaseProxies | None:
         leader_term = self._leader_term
-        return leader_term.deputies if leader_term is not None else None
+        return leader_term.proxies if leader_term is not None else None
 
     def _count(self, job_id: str) -> tuple[int, int] | None:
         leader_term = self._leader_term
@@ -220,7 +220,7 @@
     def _on_ping(self, ping: Ping) -> None:
         if ping.leading:
             self.election.saw_token(ping.token)
-            self.deputy.heard(ping.token, ping.trust)
+            self.lease_proxy.heard(ping.token, ping.trust)
             counts = dict(self._peer_counts)
             counts.update({job: (done, running) for job, done, running in ping.counts})
             while len(counts) > self.settings.settings.machine_limits.ram_mb * 100:
@@ -258,7 +258,7 @@
         Two zones that cannot reach each other while both reach a third: a leader in one of the two lost all
         tasks of the other one to their leases, and could not tell for half a minute what still ran there.
         """
-        better = self.peers.connectivity.better_placed(self._times.deputy_after_s)
+        better = self.peers.connectivity.better_placed(self._times.proxy_after_s)
         view = self.peers.views.get(better) if better is not None else None
         # Who is to lead must be able to: it heard from the state service lately.
         if view is not None and time.monotonic() - view.contact_at < self.election.life_s:
@@ -332,9 +332,9 @@
             return reply
         if report.token:
             known = self.election.leader
-            deputed = self.deputy.may_answer(report, self.store.contact_at, known.token if known else 0)
-            if deputed is not None:
-                return answer(200, report_answer(deputed))
+            proxied = self.lease_proxy.may_answer(report, self.store.contact_at, known.token if known else 0)
+            if proxied is not None:
+                return answer(200, report_answer(proxied))
             # A new machine's worker begins with any node; one that has a token has left its leader.
             self._pass_on(report)
         leader = self.election.await_leader(self._naming_s)
--- a/tests/sim_node.py
+++ b/tests/sim_node.py
@@ -14,7 +14,7 @@
 from poppyhold.connectivity import Connectivity
 from poppyhold.context import OK, REFUSED, UNSENT, UNSURE, CommitRank, Passed, Times
 from poppyhold.controller import Controller
-from poppyhold.deputy import Deputies, Deputy, Trust
+from poppyhold.lease_proxy import LeaseProxies, LeaseProxy, Trust
 from poppyhold.messages import Listed, MachineType, Report, convert, encode, parse_report
 from poppyhold.options import Options
 from poppyhold.snapshot import read_snapshot
@@ -92,7 +92,7 @@
         self.token, self.version, self.lease_id = baton, stamp, permit
         self.alive = True
         self.confirmed = self.world.now
-        self.deputies = Deputies(node.times, 0.0)
+        self.proxies = LeaseProxies(node.times, 0.0)
         world = self.world
         self.authority = Authority(node.times.blind_answers_s, world.members, world.now)
         self._writer = Writer(node.store, stamp)
@@ -289,8 +289,8 @@
     def confirmed_at(self) -> float:
         return self.confirmed if self.alive else float("-inf")
 
-    def deputies_until(self) -> float:
-        return self.deputies.until(self.world.now)
+    def proxies_until(self) -> float:
+        return self.proxies.until(self.world.now)
 
     def trust(self) -> Trust | None:
         """What the other nodes may count on."""
@@ -330,7 +330,7 @@
         # First revision that this process saw.
         self.first_revision = -1
         self.passed_on: dict[str, tuple[float, Passed]] = {}
-        self.deputy = Deputy(self.times, 0.0, lambda: self.world.now, lambda: self.world.now)
+        self.lease_proxy = LeaseProxy(self.times, 0.0, lambda: self.world.now, lambda: self.world.now)
         self.connectivity = Connectivity(self.member, self.times.report_s, lambda: self.world.now)
         builds = {b["name"]: convert(b, MachineType) for b in self.world.cloud.machine_types}
         self.users = Users(self.settings, self.store, lambda: builds, self._count, lambda: self.world.now)
@@ -362,9 +362,9 @@
         """POST /hello."""
         leader_term = self.leader_term
         if leader_term is None:
-            deputed = self.deputy.may_answer(parse_report(body), self.store.contact_at, 0)
-            if deputed is not None:
-                return 200, {"baton": deputed, "orders": []}
+            proxied = self.lease_proxy.may_answer(parse_report(body), self.store.contact_at, 0)
+            if proxied is not None:
+                return 200, {"baton": proxied, "orders": []}
             self.passed_on[body["box"]] = self.world.now, (body["box"], body["shift"], body["tally"])
             leader = self.world.leader()
             return 421, {"foreman": leader.member} if leader is not None else {}
@@ -395,7 +395,7 @@
         self._ask_peers()
         leader_term = self.leader_term
         if leader_term is not None:
-            better = self.connectivity.better_placed(self.times.deputy_after_s)
+            better = self.connectivity.better_placed(self.times.proxy_after_s)
             if better is not None and not (world.state.down or self.refused):
                 leader_term.resign(f"{better} reaches more controllers")
                 return
@@ -468,9 +468,9 @@
             return
         self.tell(leader_term)
         for other in self._reached():
-            leader_term.deputies.telling(other.member, world.now)
-            other.deputy.heard(leader_term.token, leader_term.trust())
-            leader_term.deputies.answered(other.member, world.now)
+            leader_term.proxies.telling(other.member, world.now)
+            other.lease_proxy.heard(leader_term.token, leader_term.trust())
+            leader_term.proxies.answered(other.member, world.now)
             if other.leader_term is not None and other.leader_term.token > leader_term.token:
                 self.step_down()
                 return
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -7,8 +7,8 @@
 import pytest
 
 from jobs import submission, wire
-from poppyhold.deputy import Trust
 from poppyhold.election import Election, Term
+from poppyhold.lease_proxy import Trust
 from poppyhold.messages import encode, parse_report
 from poppyhold.options import Options
 from poppyhold.settings import Team
@@ -58,8 +58,8 @@
     assert not attempts.all_heard()
     # Nor does a node that may stand in for this leader take it.
     other = next(node for node in world.nodes if node.alive and node.leader_term is None)
-    other.deputy.heard(leader_term.token, Trust(leader_term.token, world.now, []))
-    world.now += 2 * other.times.deputy_after_s
+    other.lease_proxy.heard(leader_term.token, Trust(leader_term.token, world.now, []))
+    world.now += 2 * other.times.proxy_after_s
     assert other.handle_report(old)[0] == 421
     assert other.handle_report({**old, "baton": leader_term.token})[0] == 200
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -15,12 +15,12 @@
 from poppyhold.cancellations import Cancellations
 from poppyhold.connectivity import Connectivity
 from poppyhold.controller import Controller
-from poppyhold.deputy import Deputies, Deputy
 from poppyhold.dispatch import Dispatcher, Pass
 from poppyhold.fleet import DONE, NOTHING, Job, Machine, Room, how_many
 from poppyhold.gang_placement import GangPlacement
 from poppyhold.gangs import Gangs, GangState
 from poppyhold.hires import Hires
+from poppyhold.lease_proxy import LeaseProxies, LeaseProxy
 from poppyhold.machine_monitor import MachineMonitor, Survey
 from poppyhold.placement import Quotas
 from poppyhold.relocation import Relocation
@@ -438,8 +438,8 @@
     ("lost_hire_answer", Hires, "load", _count_nothing),
     ("done_before_reap", Attempts, "_may_reap", _always),
     ("large_fleet", Pass, "claim", _unlike),
-    ("zone_cut", Deputy, "may_answer", _never),
-    ("zone_cut_long", Deputies, "until", _long_ago),
+    ("zone_cut", LeaseProxy, "may_answer", _never),
+    ("zone_cut_long", LeaseProxies, "until", _long_ago),
     ("cancelled_before_the_cut", Controller, "excluded_machines", _nobody),
     ("limit_and_cancelled", Dispatcher, "_unknown_use", _no_room),
     ("mute_machines_and_copies", MachineMonitor, "_lost_to_others", _all_of_them),
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -16,7 +16,7 @@
 import msgspec
 import pytest
 
-from poppyhold.deputy import Trust
+from poppyhold.lease_proxy import Trust
 from poppyhold.messages import MachineType, Submission
 from poppyhold.peers import Message, Ping, Pong
 from poppyhold.settings import NextState, Team
