Tests: fields of messages are compared without the modules that their types stand in

Nothing that is sent shows a module, so both sides are compared without; names, order and types of all fields as before, and the recorded bytes are still decoded.

--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import json
+import re
 from pathlib import Path
 from typing import Any
 
@@ -53,14 +54,19 @@
     assert new[: len(old)] == old
 
 
+def _without_modules(text: str) -> str:
+    """A field's type without the modules that its parts stand in, which nothing that is sent shows."""
+    return re.sub(r"\b(?:typing|poppyhold\.\w+)\.", "", text)
+
+
 @pytest.mark.parametrize(
     ("kind", "name"),
     [(Ping, "Ping"), (Pong, "Pong"), (Submission, "Submission"), (MachineType, "Build")],
 )
 def test_fields_are_only_added(kind: type[msgspec.Struct], name: str) -> None:
-    recorded = FIXTURE["reads"][name]
+    recorded = [[field, _without_modules(text), *rest] for field, text, *rest in FIXTURE["reads"][name]]
     fields = [
-        [field.encode_name, str(field.type).replace("typing.", ""), field.required]
+        [field.encode_name, _without_modules(str(field.type)), field.required]
         for field in msgspec.structs.fields(kind)
     ]
     if kind in (Ping, Pong):
