Lease proxies also where only the way to the leader is cut

Nobody hears all, both halves have the state service, and the leases of the half without the leader ended within ten seconds, since a controller renewed leases in the leader's name only once it had lost the state service as well. Now it does so too where its connections to the leader time out and the state service still names that very leader; the bounds on it are as before. Where connections are refused it does not.

--- a/src/poppyhold/connectivity.py
+++ b/src/poppyhold/connectivity.py
@@ -26,16 +26,27 @@
         self._reaches: dict[str, _Reach] = {}
         # When each controller answered last, also those whose connection broke.
         self._heard_at: dict[str, float] = {}
+        # Those that gave no answer at all, not even a refusal.
+        self._unreachable: set[str] = set()
 
     def answered(self, member: str, hears: Iterable[str]) -> None:
         """Another controller answered, and named those that it hears itself."""
         now = self._clock()
         self._reaches[member] = _Reach(now, frozenset(hears))
         self._heard_at[member] = now
+        self._unreachable.discard(member)
 
-    def lost(self, member: str) -> None:
-        """The connection to another controller broke."""
+    def lost(self, member: str, timed_out: bool) -> None:
+        """The connection to another controller broke; a time-out says that nothing gets through."""
         self._reaches.pop(member, None)
+        if timed_out:
+            self._unreachable.add(member)
+        else:
+            self._unreachable.discard(member)
+
+    def unreachable(self, member: str) -> bool:
+        """Whether nothing gets through to another controller. One that refuses connections is not cut off."""
+        return member in self._unreachable
 
     def hears(self) -> list[str]:
         """Controllers that answered lately."""
--- a/src/poppyhold/lease_proxy.py
+++ b/src/poppyhold/lease_proxy.py
@@ -2,9 +2,10 @@
 
 A zone that is cut off goes on working inside, but only as long as somebody there answers its workers. The
 leader tells each controller how far it is sure of its lead and of every cancellation. One that then loses
-both the leader and the state service may give workers their leases under the leader's token, without any
-orders, for as long as the leader itself might: until a lease given now would end later than `cancel_s` behind
-that moment. The leader counts on it: it takes no lease for over that such an answer may have prolonged.
+the leader, and either the state service as well or only the way to the leader, may give workers their leases
+under the leader's token, without any orders, for as long as the leader itself might: until a lease given now
+would end later than `cancel_s` behind that moment. The leader counts on it: it takes no lease for over that
+such an answer may have prolonged.
 """
 
 from __future__ import annotations
@@ -46,16 +47,21 @@
             self._trust, self._heard_at = trust, self._clock()
             self._standing_in = False
 
-    def may_answer(self, report: Report, state_at: float, known_token: int) -> int | None:
+    def may_answer(
+        self, report: Report, state_at: float, known_token: int, leader_unreachable: bool
+    ) -> int | None:
         """The token to answer a worker with; None if that is not for us to do.
 
-        ``state_at`` is when the state service last answered us, ``known_baton`` that of the leader's key.
+        ``state_at`` is when the state service last answered us, ``known_token`` that of the leader's key, and
+        ``leader_unreachable`` whether nothing of ours gets through to the leader.
         """
         trust, now = self._trust, self._clock()
-        if trust is None or now - max(self._heard_at, state_at) <= self._times.proxy_after_s:
-            log.debug(
-                "%s: heard %.1f s ago, state %.1f s ago", report.machine, now - self._heard_at, now - state_at
-            )
+        if trust is None or now - self._heard_at <= self._times.proxy_after_s:
+            return None
+        if now - state_at <= self._times.proxy_after_s and not (
+            self._is_partition(trust, known_token) and leader_unreachable
+        ):
+            log.debug("%s: the state service names the leader", report.machine)
             return None
         # A held message may come late: its own time of day tells how old it is.
         if self._wall() + 2 * self._skew_s > trust.known_wall + self._times.blind_answers_s:
@@ -72,6 +78,15 @@
             log.info("standing in for the leader with token %d", trust.token)
         return trust.token
 
+    @staticmethod
+    def _is_partition(trust: Trust, known_token: int) -> bool:
+        """Whether the leader still leads though it is not heard: its workers here may not reach it either.
+
+        Where two zones can't reach each other and the third is cut off, both have the state service, and
+        nobody could lead for all: the leases of the zone without the leader ended behind ten seconds.
+        """
+        return known_token == trust.token
+
 
 class LeaseProxies:
     """The side of the leader: until when others may have answered workers in its name."""
--- a/src/poppyhold/peers.py
+++ b/src/poppyhold/peers.py
@@ -191,7 +191,7 @@
                     self._talk(connection, known)
             except (OSError, ValueError, msgspec.MsgspecError) as error:
                 log.debug("peer %s: %s", known.member, error)
-                self.connectivity.lost(known.member)
+                self.connectivity.lost(known.member, timed_out=isinstance(error, TimeoutError))
                 if isinstance(error, ConnectionRefusedError):
                     self._on_refused(known.member)
             except Exception:
--- a/src/poppyhold/service.py
+++ b/src/poppyhold/service.py
@@ -332,7 +332,12 @@
             return reply
         if report.token:
             known = self.election.leader
-            proxied = self.lease_proxy.may_answer(report, self.store.contact_at, known.token if known else 0)
+            proxied = self.lease_proxy.may_answer(
+                report,
+                self.store.contact_at,
+                known.token if known else 0,
+                known is not None and self.peers.connectivity.unreachable(known.member),
+            )
             if proxied is not None:
                 return answer(200, report_answer(proxied))
             # A new machine's worker begins with any node; one that has a token has left its leader.
--- a/tests/sim_node.py
+++ b/tests/sim_node.py
@@ -362,7 +362,14 @@
         """POST /hello."""
         leader_term = self.leader_term
         if leader_term is None:
-            proxied = self.lease_proxy.may_answer(parse_report(body), self.store.contact_at, 0)
+            held = self.world.state.keys.get(LEAD)
+            named = self.world.leader()
+            proxied = self.lease_proxy.may_answer(
+                parse_report(body),
+                self.store.contact_at,
+                held[0]["baton"] if held is not None and self._has_state() else 0,
+                named is not None and self.world.severed(self.zone, named.zone),
+            )
             if proxied is not None:
                 return 200, {"baton": proxied, "orders": []}
             self.passed_on[body["box"]] = self.world.now, (body["box"], body["shift"], body["tally"])
@@ -377,6 +384,11 @@
         assert len(encode(answer)) <= 64 * 1024
         return 200, answer
 
+    def _has_state(self) -> bool:
+        """Whether the state service answers this node."""
+        world = self.world
+        return not (world.state.down or self.refused or world.cut == self.zone)
+
     def step(self) -> None:
         """What a node's duties do every so often."""
         world = self.world
@@ -396,7 +408,7 @@
         leader_term = self.leader_term
         if leader_term is not None:
             better = self.connectivity.better_placed(self.times.proxy_after_s)
-            if better is not None and not (world.state.down or self.refused):
+            if better is not None and self._has_state():
                 leader_term.resign(f"{better} reaches more controllers")
                 return
             leader_term.controller.tick()
--- a/tests/test_connectivity.py
+++ b/tests/test_connectivity.py
@@ -51,7 +51,7 @@
     clock = Clock()
     links = Connectivity("a", 2.0, clock)
     links.answered("b", ["a", "c"])
-    links.lost("b")
+    links.lost("b", timed_out=False)
     assert links.hears() == []
     links.answered("b", ["a", "c"])
     clock.now = 2.5
@@ -64,7 +64,7 @@
     links.answered("b", ["a", "c"])
     links.answered("c", ["a", "b"])
     clock.now = 1.0
-    links.lost("c")
+    links.lost("c", timed_out=False)
     links.answered("b", ["a", "c"])
     assert links.better_placed() == "b"
     assert links.better_placed(unheard_s=2.5) is None
@@ -72,7 +72,7 @@
     links.answered("b", ["a", "c"])
     assert links.better_placed(unheard_s=2.5) == "b"
     # Who comes back just then, after a cut of its own, has not to be waited for once more.
-    links.lost("b")
+    links.lost("b", timed_out=False)
     clock.now = 10.0
     assert links.better_placed(unheard_s=2.5) is None
     links.answered("b", ["a", "c"])
@@ -92,6 +92,19 @@
     assert links.better_placed(unheard_s=2.5) == "b"
 
 
+def test_only_who_gives_no_answer_at_all_is_unreachable() -> None:
+    links = Connectivity("a", 2.0, Clock())
+    links.lost("b", timed_out=True)
+    links.lost("c", timed_out=False)
+    assert (links.unreachable("b"), links.unreachable("c")) == (True, False)
+    # It is there, and refuses us: perhaps a packet filter, or its process has just ended.
+    links.lost("b", timed_out=False)
+    assert not links.unreachable("b")
+    links.lost("b", timed_out=True)
+    links.answered("b", ["a"])
+    assert not links.unreachable("b")
+
+
 class Ending(Store):
     """A state service that takes back leases, or does not."""
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -467,6 +467,7 @@
     ("gang_unsure_start", Attempts, "raise_token", _always),
     ("zone_partition", Connectivity, "better_placed", _never),
     ("few_hang_at_change_of_leader", MachineMonitor, "_is_quiet", _always),
+    ("zone_partition_of_two", LeaseProxy, "_is_partition", _never),
     ("zone_cut_keeps_machines", Survey, "silent_zones", _no_zones),
     ("zone_cut_keeps_machines", MachineMonitor, "_keep_out_of", _never),
     ("image_holders_make_room", Relocation, "make_room", _never),
