--- a/tests/mix.py
+++ b/tests/mix.py
@@ -223,7 +223,7 @@
 
 def main() -> int:
     """Play days from the command line."""
-    from test_scenarios import Scenario
+    from scenario import Scenario
 
     first, days = int(sys.argv[1]), int(sys.argv[2])
     zones = sys.argv[3] if len(sys.argv) > _WITHOUT_ZONES else "ab"
--- /dev/null
+++ b/tests/scenario.py
@@ -0,0 +1,315 @@
+"""The runner of scenarios; scenarios/README.md tells their words."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+from jobs import submission
+from poppyhold.settings import NextState, Objective, Team
+from poppyhold.store import TOKEN
+from world import World
+
+FOLDER = Path(__file__).parent / "scenarios"
+
+
+class Scenario:
+    """One text: a world, what happens in it, and what must come of it."""
+
+    def __init__(self, text: str, seed: int) -> None:
+        self.lines = [line.split("#")[0].split() for line in text.splitlines() if line.split("#")[0].strip()]
+        head = {}
+        for words in self.lines:
+            if words[0] == "world":
+                head = dict(word.split("=") for word in words[1:])
+        limit = float(head.get("limit", 0))
+        guaranteed = float(head.get("guaranteed", 8))
+        teams = [Team("alpha", gpus=guaranteed, gpus_max=limit), Team("beta", gpus=8, gpus_max=0)]
+        self.world = World(
+            seed,
+            float(head.get("lease_s", 10)),
+            float(head.get("cancel_s", 30)),
+            teams,
+            _next_limits(head),
+            head["zones"].split(",") if "zones" in head else None,
+            _wait_objectives(head.get("wait", "")),
+        )
+        self.failures: list[str] = []
+
+    def play(self) -> None:
+        """Carry out the lines in order; times are absolute."""
+        for line in self.lines:
+            words = line
+            if line[0] == "at":
+                self.world.run(float(line[1]))
+                words = line[2:]
+            getattr(self, f"do_{words[0]}")(*words[1:])
+
+    def do_old(self, which: str) -> None:
+        """The nodes run the version before, as far as it stores otherwise, also when they come back."""
+        for node in self._nodes(which):
+            node.is_old()
+            node.boot()
+
+    def do_upgrade(self, which: str) -> None:
+        """The nodes are killed and come back with the new version."""
+        for node in self._nodes(which):
+            node.settings = self.world.settings
+            node.crash(3.0)
+
+    def do_lower_limits(self) -> None:
+        """The state service takes on the limits that were announced."""
+        limits = self.world.settings.settings.state.lowest
+        self.world.state.lower_limits(limits.txn_ops, limits.value_kb)
+
+    # -- what there is -------------------------------------------------------------------------------
+
+    def do_world(self, *fields: str) -> None:
+        """Figures of the deployment; read before anything else."""
+
+    def do_capacity(self, build: str, zone: str, kind: str, number: str) -> None:
+        self.world.cloud.capacity[(build, zone, kind == "spot")] = int(number)
+
+    def do_machines(self, build: str, zone: str, kind: str, number: str) -> None:
+        for _ in range(int(number)):
+            self.world.add_worker(self.world.cloud.add(build, zone, kind == "spot", "running"))
+
+    # -- what happens --------------------------------------------------------------------------------
+
+    def do_submit(self, job_id: str, *fields: str) -> None:
+        values = dict(field.split("=") for field in fields)
+        self.world.submit(submission(job_id, {key: _value(text) for key, text in values.items()}))
+
+    def do_submit_many(self, number: str, first: str, *fields: str) -> None:
+        for index in range(int(number)):
+            self.do_submit(f"job-{int(first) + index:06d}", *fields)
+
+    def do_cancel(self, job_id: str, word: str = "at", which: str = "all") -> None:
+        self.world.cancel(job_id, self._nodes(which))
+
+    def _nodes(self, which: str) -> list[Any]:
+        world = self.world
+        if which == "all":
+            return list(world.nodes)
+        leader = world.leader()
+        if which == "leader":
+            return [leader] if leader is not None else []
+        if which == "others":
+            return [node for node in world.nodes if node is not leader]
+        return [world.nodes[int(which)]]
+
+    def do_crash(self, which: str, word: str = "for", seconds: str = "5") -> None:
+        for node in self._nodes(which):
+            node.crash(float(seconds))
+
+    def do_roll(self, every: str) -> None:
+        for index, node in enumerate(self.world.nodes):
+            self.world.after(index * float(every), lambda node=node: node.crash(3.0))  # type: ignore[misc]
+
+    def _for_a_while(self, target: Any, name: str, seconds: str, value: bool | float = True) -> None:
+        setattr(target, name, value)
+        self.world.after(float(seconds), lambda: setattr(target, name, type(value)()))
+
+    def do_refuse(self, which: str, word: str, seconds: str) -> None:
+        for node in self._nodes(which):
+            self._for_a_while(node, "refused", seconds)
+
+    def do_isolate(self, which: str, word: str, seconds: str) -> None:
+        """The node keeps its workers, and loses the state service and the other nodes."""
+        for node in self._nodes(which):
+            self._for_a_while(node, "refused", seconds)
+            self._for_a_while(node, "cut_peers", seconds)
+
+    def do_unreach(self, which: str, word: str, seconds: str) -> None:
+        """The node loses the workers."""
+        for node in self._nodes(which):
+            self._for_a_while(node, "cut_workers", seconds)
+
+    def do_freeze(self, which: str, word: str, seconds: str) -> None:
+        """The node stands still while its clocks run on."""
+        for node in self._nodes(which):
+            self._for_a_while(node, "frozen", seconds)
+
+    def do_lose_answers(self, which: str, number: str) -> None:
+        for node in self._nodes(which):
+            node.lose_answers = int(number)
+
+    def do_late_writes(self, share: str, word: str, seconds: str) -> None:
+        """Transactions get no answer and are carried out late, behind newer ones."""
+        self._for_a_while(self.world, "late_writes", seconds, float(share))
+
+    def do_lost_answers(self, share: str, word: str, seconds: str) -> None:
+        """Transactions are carried out at once and get no answer."""
+        self._for_a_while(self.world, "lost_answers", seconds, float(share))
+
+    def do_slow_links(self, delay: str, word: str, seconds: str) -> None:
+        """Messages between controllers and workers take so much longer, each way."""
+        self._for_a_while(self.world, "link_s", seconds, float(delay))
+
+    def do_lose_hires(self, number: str) -> None:
+        self.world.lose_hires = int(number)
+
+    def do_outage(self, what: str, word: str, seconds: str) -> None:
+        world = self.world
+        if what == "state":
+            world.state.down = True
+            world.after(float(seconds), world.state.end_outage)
+        else:
+            world.cloud.down = True
+            world.after(float(seconds), lambda: setattr(world.cloud, "down", False))
+
+    def do_cut(self, zone: str, word: str, seconds: str) -> None:
+        """The zone is cut off from everything outside it."""
+        world = self.world
+        world.cut = zone
+        world.after(float(seconds), lambda: setattr(world, "cut", None))
+
+    def do_partition(self, zones: str, word: str, seconds: str) -> None:
+        """The two zones can't reach each other; both reach all else."""
+        world = self.world
+        world.partition = set(zones.split(","))
+        world.after(float(seconds), lambda: setattr(world, "partition", set()))
+
+    def do_trouble(self, kind: str, machine: str, word: str, seconds: str) -> None:
+        """A kind of trouble with a machine, or with all; the kinds are in scenarios/README.md."""
+        names = list(self.world.workers) if machine == "all" else [machine]
+        for name in names:
+            self.world.troubles.setdefault(name, set()).add(kind)
+            self.world.after(
+                float(seconds),
+                lambda name=name: self.world.troubles[name].discard(kind),  # type: ignore[misc]
+            )
+
+    def do_faulty(self, machine: str) -> None:
+        self.world.workers[machine].faulty = True
+
+    def do_slow_fetch(self, machine: str, gb_per_s: str) -> None:
+        worker = self.world.workers[machine]
+        worker.machine_type = {**worker.machine_type, "pullGbPerS": float(gb_per_s)}
+
+    def do_die(self, machine: str) -> None:
+        self.world.end_worker(machine)
+
+    def do_recall(self, machine: str, notice: str, real: str) -> None:
+        worker = self.world.workers.get(machine)
+        if worker is None:
+            # A drawn day may name one that is gone by then.
+            return
+        worker.notice_s = float(notice)
+        self.world.after(float(real), lambda: self._take_back(machine))
+
+    def _take_back(self, machine: str) -> None:
+        self.world.end_worker(machine)
+        self.world.cloud.machines.pop(machine, None)
+
+    def do_boots_fail(self, number: str) -> None:
+        self.world.cloud.failing = int(number)
+
+    def do_late_reports(self, share: str, word: str, seconds: str, when: str = "") -> None:
+        """A copy of that share of reports comes again: 1 to 25 s late, or when the next leader begins."""
+        self.world.keep_copies = when == "for_next"
+        self._for_a_while(self.world, "copied", seconds, float(share))
+
+    def do_cancel_now(self, number: str, word: str = "hang", seconds: str = "0") -> None:
+        """Users call off so many jobs that run; machines that run them hang for a while."""
+        world = self.world
+        running = [(w, t.rpartition("/")[0]) for w in world.workers.values() for t in w.on_machine()]
+        jobs = sorted({job for _, job in running if world.told.get(job) != "cancelled"})
+        chosen = world.rng.sample(jobs, min(int(number), len(jobs)))
+        for job in chosen:
+            world.after(world.rng.uniform(0.0, 0.2), lambda job=job: world.cancel(job))  # type: ignore[misc]
+        if float(seconds):
+            for name in sorted({worker.name for worker, job in running if job in chosen})[:8]:
+                self.do_trouble("hang", name, "for", seconds)
+
+    def do_cancel_at_end(self, share: str, word: str, seconds: str) -> None:
+        """That share of the jobs that end is called off at the moment of the end."""
+        self._for_a_while(self.world, "cancel_at_end", seconds, float(share))
+
+    def do_close_looks(self, word: str, seconds: str) -> None:
+        """Users ask at all nodes, and repeat the submission, as soon as they are told something."""
+        self._for_a_while(self.world, "close_looks", seconds)
+
+    def do_odd_requests(self, word: str, seconds: str) -> None:
+        """Once a second users repeat submissions, cancel what is done and send what can't be taken."""
+        for number in range(int(float(seconds))):
+            self.world.after(float(number), self.world.ask_oddly)
+
+    def do_calm(self) -> None:
+        """All troubles are over."""
+        self.world.calm_at = self.world.now
+
+    # -- what must be --------------------------------------------------------------------------------
+
+    def _expect(self, holds: bool, text: str) -> None:
+        if not holds:
+            self.failures.append(f"at {self.world.now:.1f}: {text}")
+
+    def do_expect(self, what: str, *words: str) -> None:
+        world = self.world
+        if what == "told":
+            self._expect(world.told.get(words[0]) == words[1], f"{words[0]} is {world.told.get(words[0])}")
+        elif what == "up":
+            up = {t for w in world.workers.values() for t in w.on_machine() if t.startswith(words[0] + "/")}
+            self._expect(len(up) == int(words[1]), f"{words[0]} has {len(up)} tasks up")
+        elif what == "attempts":
+            # Attempts of a gang that started whole, and the seconds of its work that were saved at least.
+            attempts = world.gangs.starts.get(words[0], 0)
+            self._expect(attempts == int(words[1]), f"{words[0]} started {attempts} times")
+        elif what == "saved":
+            saved = world.gangs.saved.get(words[0], 0.0)
+            self._expect(saved >= float(words[1]), f"{words[0]} has saved {saved:.1f} s")
+        elif what == "starts":
+            most = max((n for t, n in world.starts.items() if t.startswith(words[0] + "/")), default=0)
+            self._expect(most <= int(words[1]), f"a task of {words[0]} started {most} times")
+        elif what == "machines":
+            number = len(world.workers)
+            self._expect(int(words[0]) <= number <= int(words[1]), f"{number} machines")
+        elif what == "zone":
+            zones = {w.zone for w in world.workers.values() for t in w.on_machine() if t.startswith(words[0])}
+            self._expect(zones == set(words[1].split(",")), f"{words[0]} is in {zones}")
+        elif what == "work":
+            # So many of one kind of call for each of another, at the most.
+            name, ratio, each = words
+            count, of = world.work[name], world.work[each]
+            self._expect(count <= float(ratio) * of, f"{count} {name} for {of} {each}")
+        elif what == "terms":
+            held = world.state.keys[TOKEN][0]["baton"]
+            self._expect(held <= int(words[0]), f"{held} terms")
+        elif what == "settled":
+            for text in world.settled():
+                self._expect(False, text)
+        elif what == "leader":
+            self._expect((world.leader() is not None) == (words[0] == "yes"), "leader")
+        else:
+            raise ValueError(what)
+
+
+def _next_limits(head: dict[str, str]) -> NextState | None:
+    if "next_txn_ops" not in head:
+        return None
+    return NextState(txn_ops=int(head["next_txn_ops"]), value_kb=float(head["next_value_kb"]))
+
+
+def _wait_objectives(text: str) -> list[Objective]:
+    """`CLASS:SECONDS,...`: within which time the tasks of a class should start."""
+    pairs = (entry.split(":") for entry in text.split(",") if entry)
+    return [Objective("wait", job_class=name, within_s=float(seconds)) for name, seconds in pairs]
+
+
+def _value(text: str) -> object:
+    if text in ("true", "false"):
+        return text == "true"
+    if text.replace(".", "", 1).isdigit():
+        return float(text) if "." in text else int(text)
+    return text.split(",") if "," in text else text
+
+
+def variants(path: Path) -> list[tuple[str, str]]:
+    """The texts that a file stands for, with their names: one for each value of a word that it varies."""
+    text = path.read_text()
+    words = next((line.split() for line in text.splitlines() if line.startswith("each ")), None)
+    if words is None:
+        return [(path.stem, text)]
+    lines = [line for line in text.splitlines() if not line.startswith("each ")]
+    return [(f"{path.stem}-{value}", "\n".join(lines).replace(words[1], value)) for value in words[2:]]
--- /dev/null
+++ b/tests/test_guards.py
@@ -0,0 +1,156 @@
+"""Takes guards out one by one: each time a scenario must break a rule or miss what it expects."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from poppyhold.attempts import Attempts
+from poppyhold.authority import Authority
+from poppyhold.cancellations import Cancellations
+from poppyhold.connectivity import Connectivity
+from poppyhold.controller import Controller
+from poppyhold.dispatch import Dispatcher, Pass
+from poppyhold.fleet import DONE, NOTHING, Job, Machine, Room, how_many
+from poppyhold.gang_placement import GangPlacement
+from poppyhold.gangs import Gangs, GangState
+from poppyhold.hires import Hires
+from poppyhold.lease_proxy import LeaseProxies, LeaseProxy
+from poppyhold.machine_monitor import MachineMonitor, Survey
+from poppyhold.placement import Quotas
+from poppyhold.relocation import Relocation
+from scenario import FOLDER, Scenario, variants
+
+
+def _always(*_: object) -> bool:
+    return True
+
+
+def _never(*_: object) -> None:
+    return None
+
+
+def _long_ago(*_: object) -> float:
+    return float("-inf")
+
+
+def _nobody(*_: object) -> list[str]:
+    return []
+
+
+def _all_of_them(self: MachineMonitor, now: float) -> int:
+    return max(map(len, self._ctx.edges.passed_on()), default=0)
+
+
+def _no_zones(*_: object) -> set[str]:
+    return set()
+
+
+def _no_room(*_: object) -> tuple[float, float, float]:
+    return NOTHING
+
+
+def _told_nothing(*_: object) -> tuple[list[object], int]:
+    return [], 0
+
+
+def _learned_all(self: Authority, member: str, asked: float, bound: int) -> None:
+    """Whatever a controller told, it is taken for known."""
+    self._clear_at[member] = asked
+
+
+def _count_nothing(self: Hires, name: str, data: object) -> None:
+    """Hires of earlier leaders are forgotten."""
+
+
+def _unlike(*_: object) -> object:
+    """No claim is like another: a pass remembers nothing."""
+    return object()
+
+
+def _complete_one(self: Job, index: int) -> bool:
+    """One task that is done completes that task alone."""
+    news = self.states[index] != DONE
+    self.states[index] = DONE
+    self.done += news
+    return news
+
+
+def _only_from_the_beginning(self: Gangs, job: Job) -> bool:
+    return self.state_of(job) is GangState.WAITING_FOR_ROOM
+
+
+def _kill(self: Gangs, job: Job, now: float, grace_s: float | None = None) -> None:
+    """Gangs are stopped without the time to save."""
+    for attempt in list(job.active.values()):
+        self._stop_task(attempt, 0.0, now)
+
+
+def _one_by_one(
+    self: GangPlacement, job: Job, machines: list[Machine], reserved: dict[str, Room]
+) -> list[Machine] | None:
+    """Tasks of a gang start as soon as there is room for one."""
+    return next(([machine] for machine in machines if how_many(job.need, machine.free, 1)), None)
+
+
+# Guard that is taken out -> scenario that must then break a rule or miss what it expects.
+GUARDS: list[tuple[str, type, str, Callable[..., object]]] = [
+    ("late_run_after_cancel", Attempts, "raise_token", _always),
+    ("held_start_after_leader_change", Attempts, "_absence_proves", _always),
+    ("limit_while_unreachable", Quotas, "allows", _always),
+    ("isolated_leader", Authority, "may_answer", _always),
+    ("lost_hire_answer", Hires, "load", _count_nothing),
+    ("done_before_reap", Attempts, "_may_reap", _always),
+    ("large_fleet", Pass, "claim", _unlike),
+    ("zone_cut", LeaseProxy, "may_answer", _never),
+    ("zone_cut_long", LeaseProxies, "until", _long_ago),
+    ("cancelled_before_the_cut", Controller, "excluded_machines", _nobody),
+    ("limit_and_cancelled", Dispatcher, "_unknown_use", _no_room),
+    ("mute_machines_and_copies", MachineMonitor, "_lost_to_others", _all_of_them),
+    ("deaf_machine", Attempts, "_ignores_answers", _never),
+    ("gap", Cancellations, "named", _told_nothing),
+    ("gap", Authority, "learned", _never),
+    ("gap_unnamed", Authority, "learned", _learned_all),
+    ("gangs_compete", GangPlacement, "choose", _one_by_one),
+    ("gang_task_lost_before_start", Gangs, "may_start", _only_from_the_beginning),
+    ("gang_task_lost_while_running", Gangs, "_fail", _never),
+    ("gang_gives_up_its_room", Gangs, "give_up", _never),
+    ("gang_alone", Gangs, "_avoid_late_machines", _never),
+    ("gang_recall", Gangs, "stop", _kill),
+    ("gang_preempts", GangPlacement, "make_room", _never),
+    ("gang_preempted", Dispatcher, "_await_gangs", _never),
+    ("gang_not_starved", Dispatcher, "_hold_for_gang", _never),
+    ("gang_team_limit", Dispatcher, "_hold_for_gang", _never),
+    ("gang_half_sent", Gangs, "adopt", _never),
+    ("gang_half_heard", Attempts, "all_heard", _always),
+    ("gang_short_notice", Controller, "_drain_gang", _never),
+    ("gang_leader_crash_in_stop", Gangs, "stop", _kill),
+    ("gang_cancelled_at_once", Controller, "job_removed", _never),
+    ("gang_machine_hangs", Gangs, "gone", _never),
+    ("gang_done_by_one_report", Job, "complete", _complete_one),
+    ("gang_unsure_start", Attempts, "raise_token", _always),
+    ("zone_partition", Connectivity, "better_placed", _never),
+    ("few_hang_at_change_of_leader", MachineMonitor, "_is_quiet", _always),
+    ("zone_partition_of_two", LeaseProxy, "_is_partition", _never),
+    ("zone_cut_keeps_machines", Survey, "silent_zones", _no_zones),
+    ("zone_cut_keeps_machines", MachineMonitor, "_keep_out_of", _never),
+    ("image_holders_make_room", Relocation, "make_room", _never),
+    ("image_holders_keep_equals", Relocation, "_may_move_to", _always),
+]
+
+
+@pytest.mark.parametrize("guard", GUARDS, ids=lambda guard: f"{guard[1].__name__}.{guard[2]}")
+def test_scenario_fails_without_its_guard(
+    guard: tuple[str, type, str, Callable[..., object]], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    name, owner, method, stub = guard
+    stub = staticmethod(stub) if isinstance(owner.__dict__[method], staticmethod) else stub
+    monkeypatch.setattr(owner, method, stub)
+    outcomes = []
+    for _, text in variants(FOLDER / f"{name}.txt"):
+        for seed in (1, 2, 3, 4):
+            scenario = Scenario(text, seed)
+            scenario.play()
+            outcomes += scenario.world.broken + scenario.failures
+    assert outcomes != []
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -21,7 +21,7 @@
 from poppyhold.messages import MachineType, Submission
 from poppyhold.peers import Message, Ping, Pong
 from poppyhold.settings import NextState, Team
-from test_scenarios import Scenario
+from scenario import Scenario
 from world import World
 
 Data = dict[str, Any]
