Replicas move at most one for 16 machines within a lease

Cause: a burst of starts could move many replicas of one class within seconds, which their users notice (worst 30 s).

--- a/src/poppyhold/dispatch.py
+++ b/src/poppyhold/dispatch.py
@@ -59,10 +59,7 @@
         }
         self.placement = Placement(aims, self._loss)
         self._gang_placement = GangPlacement(self.placement)
-        times = ctx.times
-        self._relocation = Relocation(
-            admission.pricing.weights, times.report_s, times.cancel_s, self.placement.in_time, ctx.clock
-        )
+        self._relocation = Relocation(admission.pricing.weights, ctx.times, self.placement.in_time, ctx.clock)
         self._pass = Pass([], [], NOTHING)
         # Jobs that passes which were broken off came to.
         self._looked_at: set[str] = set()
--- a/src/poppyhold/relocation.py
+++ b/src/poppyhold/relocation.py
@@ -9,16 +9,20 @@
 
 import itertools
 import logging
+from collections import deque
 from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
 
+from poppyhold.context import Times
 from poppyhold.fleet import EPSILON, NOTHING, Attempt, Job, Machine, Room, fits, plus
 from poppyhold.messages import TaskState
 from poppyhold.placement import Choice, fetch_wait, may_use, zone_allows
 
 log = logging.getLogger(__name__)
 
+# Of so many machines one replica may leave within a lease: many at a time would be an outage to their users.
+_MACHINES_A_MOVE = 16
 # Searches in one pass, and machines that are looked at as a replica's next one: reports must not wait.
 _MOST_SEARCHES = 8
 _MOST_HOMES = 32
@@ -38,16 +42,18 @@
     def __init__(
         self,
         weights: Sequence[float],
-        restart_s: float,
-        settled_s: float,
+        times: Times,
         in_time: Callable[[Job, float], bool],
         clock: Callable[[], float],
     ) -> None:
         # A second of a replica's time is worth the weight of its priority.
         self._weights = weights
-        self._restart_s, self._settled_s = restart_s, settled_s
+        self._restart_s, self._settled_s = times.report_s, times.cancel_s
+        self._lease_s = times.lease_s
         self._in_time, self._clock = in_time, clock
         self._moves: list[Move] = []
+        # When replicas moved within the last lease.
+        self._moved_at: deque[float] = deque()
         self._searches_left = 0
         self._hopeless: set[tuple[str, Room, int]] = set()
 
@@ -64,7 +70,7 @@
     ) -> Choice | None:
         """A machine with the job's image and the replicas that move away, if that costs less than waiting."""
         kind = (job.spec.image, job.need, job.rank)
-        if self._searches_left <= 0 or kind in self._hopeless:
+        if self._searches_left <= 0 or kind in self._hopeless or self._moves_left(machines) <= 0:
             return None
         self._searches_left -= 1
         homes = self._homes(machines, reserved)
@@ -84,8 +90,15 @@
             _reserve(reserved, move)
             log.debug("%s moves from %s to %s", move.attempt.name, machine.name, move.home.name)
         self._moves += moves
+        self._moved_at.extend([self._clock()] * len(moves))
         return Choice(machine, [move.attempt for move in moves])
 
+    def _moves_left(self, machines: list[Machine]) -> int:
+        """How many replicas may still move within this lease."""
+        while self._moved_at and self._moved_at[0] < self._clock() - self._lease_s:
+            self._moved_at.popleft()
+        return max(1, len(machines) // _MACHINES_A_MOVE) - len(self._moved_at)
+
     @staticmethod
     def _may_take(job: Job, machine: Machine) -> bool:
         """Whether a task of the job could start at once, had the machine room."""
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -43,6 +43,10 @@
     return max(map(len, self._ctx.edges.passed_on()), default=0)
 
 
+def _plenty(*_: object) -> int:
+    return 99
+
+
 def _no_zones(*_: object) -> set[str]:
     return set()
 
@@ -136,6 +140,7 @@
     ("zone_cut_keeps_machines", Survey, "silent_zones", _no_zones),
     ("zone_cut_keeps_machines", MachineMonitor, "_keep_out_of", _never),
     ("image_holders_make_room", Relocation, "make_room", _never),
+    ("image_holders_one_at_a_time", Relocation, "_moves_left", _plenty),
     ("image_holders_keep_equals", Relocation, "_may_move_to", _always),
 ]
 
