--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -106,7 +106,9 @@
         for index, node in enumerate(self.world.nodes):
             self.world.after(index * float(every), lambda node=node: node.crash(3.0))  # type: ignore[misc]
 
-    def _for_a_while(self, target: Any, name: str, seconds: str, value: bool | float = True) -> None:
+    def _for_a_while(
+        self, target: Any, name: str, seconds: str, value: bool | float | set[str] = True
+    ) -> None:
         setattr(target, name, value)
         self.world.after(float(seconds), lambda: setattr(target, name, type(value)()))
 
@@ -166,9 +168,7 @@
 
     def do_partition(self, zones: str, word: str, seconds: str) -> None:
         """The two zones can't reach each other; both reach all else."""
-        world = self.world
-        world.partition = set(zones.split(","))
-        world.after(float(seconds), lambda: setattr(world, "partition", set()))
+        self._for_a_while(self.world, "partition", seconds, set(zones.split(",")))
 
     def do_trouble(self, kind: str, machine: str, word: str, seconds: str) -> None:
         """A kind of trouble with a machine, or with all; the kinds are in scenarios/README.md."""
--- a/tests/sim_node.py
+++ b/tests/sim_node.py
@@ -50,7 +50,7 @@
 
     def _state(self) -> StateStandIn:
         world = self._node.world
-        if world.state.down or self._node.refused or not self._node.alive or world.cut == self._node.zone:
+        if not self._node.alive or not self._node.has_state():
             raise RefusedError("503")
         self.contact_at = world.now
         return world.state
@@ -367,7 +367,7 @@
             proxied = self.lease_proxy.may_answer(
                 parse_report(body),
                 self.store.contact_at,
-                held[0]["baton"] if held is not None and self._has_state() else 0,
+                held[0]["baton"] if held is not None and self.has_state() else 0,
                 named is not None and self.world.severed(self.zone, named.zone),
             )
             if proxied is not None:
@@ -384,7 +384,7 @@
         assert len(encode(answer)) <= 64 * 1024
         return 200, answer
 
-    def _has_state(self) -> bool:
+    def has_state(self) -> bool:
         """Whether the state service answers this node."""
         world = self.world
         return not (world.state.down or self.refused or world.cut == self.zone)
@@ -408,7 +408,7 @@
         leader_term = self.leader_term
         if leader_term is not None:
             better = self.connectivity.better_placed(self.times.proxy_after_s)
-            if better is not None and self._has_state():
+            if better is not None and self.has_state():
                 leader_term.resign(f"{better} reaches more controllers")
                 return
             leader_term.controller.tick()
