--- a/src/poppyhold/cli.py
+++ b/src/poppyhold/cli.py
@@ -55,7 +55,7 @@
         print("ok")
         return 0
     threading.stack_size(_STACK)
-    from poppyhold.service import Node
+    from poppyhold.node.service import Node
 
     # What a controller holds lives long: looking through all of it for garbage every few hundred objects
     # takes time from reports.
--- /dev/null
+++ b/src/poppyhold/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Which controller leads, and what controllers tell one another."""
--- a/src/poppyhold/election.py
+++ b/src/poppyhold/cluster/election.py
@@ -9,9 +9,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from poppyhold.options import Options
-from poppyhold.settings import Settings
-from poppyhold.store import (
+from poppyhold.durable.store import (
     LEAD,
     LEAD_PREFIX,
     TOKEN,
@@ -23,7 +21,9 @@
     UncertainError,
     put,
 )
-from poppyhold.watch import Watch
+from poppyhold.durable.watch import Watch
+from poppyhold.options import Options
+from poppyhold.settings import Settings
 
 log = logging.getLogger(__name__)
 
--- a/src/poppyhold/lease_proxy.py
+++ b/src/poppyhold/cluster/lease_proxy.py
@@ -14,8 +14,8 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
-from poppyhold.context import Times
-from poppyhold.messages import Report
+from poppyhold.model.context import Times
+from poppyhold.wire.messages import Report
 
 log = logging.getLogger(__name__)
 
--- a/src/poppyhold/peers.py
+++ b/src/poppyhold/cluster/peers.py
@@ -11,13 +11,13 @@
 
 import msgspec
 
-from poppyhold.cancellations import Cancellation
-from poppyhold.connectivity import Connectivity
-from poppyhold.context import Hints, Passed
-from poppyhold.frames import receive, send
-from poppyhold.lease_proxy import LeaseProxies, Trust
+from poppyhold.cluster.cancellations import Cancellation
+from poppyhold.cluster.connectivity import Connectivity
+from poppyhold.cluster.lease_proxy import LeaseProxies, Trust
+from poppyhold.model.context import Hints, Passed
 from poppyhold.relay.messages import RelayHello
 from poppyhold.settings import Known, Settings, split_address
+from poppyhold.wire.frames import receive, send
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/src/poppyhold/concurrency/__init__.py
@@ -0,0 +1,1 @@
+"""Bounded structures that threads share."""
--- a/src/poppyhold/committer.py
+++ b/src/poppyhold/durable/committer.py
@@ -9,9 +9,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from poppyhold.context import CommitRank
-from poppyhold.settings import Settings
-from poppyhold.store import (
+from poppyhold.durable.store import (
     FENCE,
     LEAD,
     ConflictError,
@@ -23,6 +21,8 @@
     UncertainError,
     put,
 )
+from poppyhold.model.context import CommitRank
+from poppyhold.settings import Settings
 
 log = logging.getLogger(__name__)
 
--- a/src/poppyhold/machine_types.py
+++ b/src/poppyhold/durable/machine_types.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from poppyhold.messages import MachineType, MachineTypes, convert
-from poppyhold.store import MACHINE_TYPES, MORE_MACHINE_TYPES, Data, Store, put, stored_bytes
+from poppyhold.durable.store import MACHINE_TYPES, MORE_MACHINE_TYPES, Data, Store, put, stored_bytes
+from poppyhold.wire.messages import MachineType, MachineTypes, convert
 
 
 def machine_type_records(machine_types: Iterable[MachineType], most_bytes: int) -> list[Data]:
--- a/src/poppyhold/snapshot.py
+++ b/src/poppyhold/durable/snapshot.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from poppyhold.store import (
+from poppyhold.durable.store import (
     ACTIVE,
     DONE_STRETCHES,
     DONE_TASKS,
--- a/src/poppyhold/store.py
+++ b/src/poppyhold/durable/store.py
@@ -8,8 +8,8 @@
 from http import HTTPStatus
 from typing import Any, NamedTuple
 
-from poppyhold.http_client import Client, NoAnswerError, NotSentError
 from poppyhold.settings import Settings, split_address
+from poppyhold.wire.http_client import Client, NoAnswerError, NotSentError
 
 ROOT = "ph/"
 LEAD = ROOT + "l/lead"
--- a/src/poppyhold/watch.py
+++ b/src/poppyhold/durable/watch.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Callable
 
-from poppyhold.store import Entry, LeaseGoneError, RefusedError, Store, UncertainError
+from poppyhold.durable.store import Entry, LeaseGoneError, RefusedError, Store, UncertainError
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/src/poppyhold/execution/__init__.py
@@ -0,0 +1,1 @@
+"""What runs where: attempts, gangs, commands to workers, completions."""
--- a/src/poppyhold/attempts.py
+++ b/src/poppyhold/execution/attempts.py
@@ -7,11 +7,13 @@
 
 import msgspec
 
-from poppyhold.context import REFUSED, UNSENT, UNSURE, CommitRank, Context
-from poppyhold.direct_commands import DirectCommands
-from poppyhold.fleet import DONE, Attempt, Job, Machine
-from poppyhold.gangs import Gangs
-from poppyhold.messages import (
+from poppyhold.durable.records import MachineRecord
+from poppyhold.durable.store import MACHINE, put
+from poppyhold.execution.direct_commands import DirectCommands
+from poppyhold.execution.gangs import Gangs
+from poppyhold.model.context import REFUSED, UNSENT, UNSURE, CommitRank, Context
+from poppyhold.model.fleet import DONE, Attempt, Job, Machine
+from poppyhold.wire.messages import (
     HAS_IMAGE,
     Command,
     CommandKind,
@@ -22,8 +24,6 @@
     TaskState,
     split_task,
 )
-from poppyhold.records import MachineRecord
-from poppyhold.store import MACHINE, put
 
 log = logging.getLogger(__name__)
 
--- a/src/poppyhold/completions.py
+++ b/src/poppyhold/execution/completions.py
@@ -6,11 +6,11 @@
 
 import msgspec
 
-from poppyhold.context import Context
-from poppyhold.fleet import DONE, Job
-from poppyhold.records import CompletionsRecord
+from poppyhold.durable.records import CompletionsRecord
+from poppyhold.durable.store import ACTIVE, DONE_STRETCHES, DONE_TASKS, Data, put, remove
+from poppyhold.model.context import Context
+from poppyhold.model.fleet import DONE, Job
 from poppyhold.settings import State
-from poppyhold.store import ACTIVE, DONE_STRETCHES, DONE_TASKS, Data, put, remove
 
 # Tasks that a hexadecimal digit stands for.
 _TASKS_A_DIGIT = 4
--- a/src/poppyhold/direct_commands.py
+++ b/src/poppyhold/execution/direct_commands.py
@@ -4,10 +4,10 @@
 
 from collections.abc import Callable
 
-from poppyhold.context import CommitRank, Context
-from poppyhold.fleet import Attempt, Machine
-from poppyhold.messages import Command, CommandKind, Report, direct_commands
-from poppyhold.store import TOKEN, put
+from poppyhold.durable.store import TOKEN, put
+from poppyhold.model.context import CommitRank, Context
+from poppyhold.model.fleet import Attempt, Machine
+from poppyhold.wire.messages import Command, CommandKind, Report, direct_commands
 
 # A machine, the attempts whose starts were sent, the outcome, and the report that came with the answer.
 OnAnswered = Callable[[Machine, list[Attempt], str, Report | None], None]
--- a/src/poppyhold/gangs.py
+++ b/src/poppyhold/execution/gangs.py
@@ -12,9 +12,9 @@
 
 import msgspec
 
-from poppyhold.context import Context
-from poppyhold.fleet import Attempt, Job
-from poppyhold.messages import ExitCause, TaskState
+from poppyhold.model.context import Context
+from poppyhold.model.fleet import Attempt, Job
+from poppyhold.wire.messages import ExitCause, TaskState
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/src/poppyhold/machines/__init__.py
@@ -0,0 +1,1 @@
+"""Which machines there are: renting, watching and returning them."""
--- a/src/poppyhold/deletions.py
+++ b/src/poppyhold/machines/deletions.py
@@ -5,10 +5,10 @@
 import logging
 from collections.abc import Callable
 
-from poppyhold.attempts import Attempts
-from poppyhold.context import Context
-from poppyhold.fleet import Machine
-from poppyhold.store import MACHINE, remove
+from poppyhold.durable.store import MACHINE, remove
+from poppyhold.execution.attempts import Attempts
+from poppyhold.model.context import Context
+from poppyhold.model.fleet import Machine
 
 log = logging.getLogger(__name__)
 
--- a/src/poppyhold/hires.py
+++ b/src/poppyhold/machines/hires.py
@@ -7,12 +7,12 @@
 
 import msgspec
 
-from poppyhold.context import OK, REFUSED, CommitRank, Context
-from poppyhold.fleet import Machine, room_of
-from poppyhold.messages import HireRequest, convert
-from poppyhold.provisioning import Provisioning, Purchase, Space
-from poppyhold.records import HireRecord
-from poppyhold.store import HIRE, Data, put, remove, stored_bytes
+from poppyhold.durable.records import HireRecord
+from poppyhold.durable.store import HIRE, Data, put, remove, stored_bytes
+from poppyhold.machines.provisioning import Provisioning, Purchase, Space
+from poppyhold.model.context import OK, REFUSED, CommitRank, Context
+from poppyhold.model.fleet import Machine, room_of
+from poppyhold.wire.messages import HireRequest, convert
 
 log = logging.getLogger(__name__)
 
--- a/src/poppyhold/hiring.py
+++ b/src/poppyhold/machines/hiring.py
@@ -6,18 +6,18 @@
 import math
 from collections.abc import Callable, Iterable
 
-from poppyhold.attempts import Attempts
-from poppyhold.context import Context
-from poppyhold.deletions import Deletions
-from poppyhold.fleet import NOTHING, Attempt, Machine, Room, how_many
-from poppyhold.hires import Hires
-from poppyhold.machine_list import MachineList
-from poppyhold.machine_monitor import MachineMonitor
-from poppyhold.messages import Listed
-from poppyhold.packing import Packing
-from poppyhold.placement import Quotas
-from poppyhold.provisioning import Arrivals, Demand, Provisioning, Space, demand_of, space_of
-from poppyhold.store import Data
+from poppyhold.durable.store import Data
+from poppyhold.execution.attempts import Attempts
+from poppyhold.machines.deletions import Deletions
+from poppyhold.machines.hires import Hires
+from poppyhold.machines.machine_list import MachineList
+from poppyhold.machines.machine_monitor import MachineMonitor
+from poppyhold.machines.packing import Packing
+from poppyhold.machines.provisioning import Arrivals, Demand, Provisioning, Space, demand_of, space_of
+from poppyhold.model.context import Context
+from poppyhold.model.fleet import NOTHING, Attempt, Machine, Room, how_many
+from poppyhold.scheduling.placement import Quotas
+from poppyhold.wire.messages import Listed
 
 log = logging.getLogger(__name__)
 
--- a/src/poppyhold/machine_list.py
+++ b/src/poppyhold/machines/machine_list.py
@@ -4,10 +4,10 @@
 
 from collections.abc import Iterable
 
-from poppyhold.context import Context
-from poppyhold.deletions import Deletions
-from poppyhold.fleet import Machine
-from poppyhold.messages import Listed
+from poppyhold.machines.deletions import Deletions
+from poppyhold.model.context import Context
+from poppyhold.model.fleet import Machine
+from poppyhold.wire.messages import Listed
 
 # Lists may name a machine that was deleted for so many times their usual lag.
 _LAGS_REMEMBERED = 40
--- a/src/poppyhold/machine_monitor.py
+++ b/src/poppyhold/machines/machine_monitor.py
@@ -6,11 +6,11 @@
 
 import msgspec
 
-from poppyhold.attempts import Attempts
-from poppyhold.context import Context
-from poppyhold.deletions import Deletions
-from poppyhold.fleet import Machine
-from poppyhold.provisioning import Provisioning
+from poppyhold.execution.attempts import Attempts
+from poppyhold.machines.deletions import Deletions
+from poppyhold.machines.provisioning import Provisioning
+from poppyhold.model.context import Context
+from poppyhold.model.fleet import Machine
 
 # A job that fails on no more machines than this may be sound.
 _FEW_MACHINES = 2
--- a/src/poppyhold/packing.py
+++ b/src/poppyhold/machines/packing.py
@@ -4,10 +4,10 @@
 
 from collections.abc import Callable, Iterable
 
-from poppyhold.fleet import Attempt, Machine, fits, plus, zone_limit
-from poppyhold.placement import may_use
-from poppyhold.pricing import shares_of
-from poppyhold.provisioning import Space
+from poppyhold.machines.provisioning import Space
+from poppyhold.model.fleet import Attempt, Machine, fits, plus, zone_limit
+from poppyhold.scheduling.placement import may_use
+from poppyhold.scheduling.pricing import shares_of
 
 
 class Packing:
--- a/src/poppyhold/provisioning.py
+++ b/src/poppyhold/machines/provisioning.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from poppyhold.fleet import (
+from poppyhold.model.fleet import (
     EPSILON,
     Job,
     Machine,
@@ -20,8 +20,8 @@
     room_of,
     zone_limit,
 )
-from poppyhold.messages import MachineType, Submission
 from poppyhold.options import Provisioning as ProvisioningOptions
+from poppyhold.wire.messages import MachineType, Submission
 
 HIRE_LIMIT = 50
 # More tasks than any machine holds.
--- a/src/poppyhold/context.py
+++ b/src/poppyhold/model/context.py
@@ -9,10 +9,10 @@
 
 import msgspec
 
-from poppyhold.fleet import Fleet
-from poppyhold.messages import MachineType, Report
+from poppyhold.model.fleet import Fleet
 from poppyhold.options import Options
 from poppyhold.settings import Settings
+from poppyhold.wire.messages import MachineType, Report
 
 Data = dict[str, Any]
 # Machine -> its images and their sizes, least recently used first.
--- a/src/poppyhold/fleet.py
+++ b/src/poppyhold/model/fleet.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from poppyhold.messages import IN_PROGRESS, RANKS, Command, MachineType, Submission, TaskState, task_name
+from poppyhold.wire.messages import IN_PROGRESS, RANKS, Command, MachineType, Submission, TaskState, task_name
 
 # Amounts of cpus, accelerators and memory, in this order.
 Room = tuple[float, float, float]
--- a/src/poppyhold/cloud.py
+++ b/src/poppyhold/node/cloud.py
@@ -10,10 +10,18 @@
 from http import HTTPStatus
 from typing import TypeVar
 
-from poppyhold.context import OK, REFUSED, UNSURE, Data
-from poppyhold.http_client import Client, NoAnswerError, NotSentError
-from poppyhold.messages import Hired, Listed, MachineList, MachineType, MachineTypes, MalformedError, convert
+from poppyhold.model.context import OK, REFUSED, UNSURE, Data
 from poppyhold.settings import Settings, split_address
+from poppyhold.wire.http_client import Client, NoAnswerError, NotSentError
+from poppyhold.wire.messages import (
+    Hired,
+    Listed,
+    MachineList,
+    MachineType,
+    MachineTypes,
+    MalformedError,
+    convert,
+)
 
 log = logging.getLogger(__name__)
 
--- a/src/poppyhold/controller.py
+++ b/src/poppyhold/node/controller.py
@@ -6,20 +6,27 @@
 import random
 from collections.abc import Callable, Iterable
 
-from poppyhold.admission import Admission
-from poppyhold.attempts import Attempts
-from poppyhold.completions import Completions
-from poppyhold.context import CommitRank, Context, Edges, Hints, Times
-from poppyhold.dispatch import Dispatcher
-from poppyhold.fleet import (
+from poppyhold.concurrency.recent import Recent
+from poppyhold.durable.records import MachineRecord
+from poppyhold.durable.snapshot import Snapshot
+from poppyhold.durable.store import ACTIVE, Data, Entry, final_writes
+from poppyhold.execution.attempts import Attempts
+from poppyhold.execution.completions import Completions
+from poppyhold.execution.gangs import GangState
+from poppyhold.machines.hiring import Hiring
+from poppyhold.model.context import CommitRank, Context, Edges, Hints, Times
+from poppyhold.model.fleet import (
     Attempt,
     Job,
     Machine,
     make_job,
 )
-from poppyhold.gangs import GangState
-from poppyhold.hiring import Hiring
-from poppyhold.messages import (
+from poppyhold.options import Options
+from poppyhold.scheduling.admission import Admission
+from poppyhold.scheduling.dispatch import Dispatcher
+from poppyhold.scheduling.placement import Quotas
+from poppyhold.settings import Settings
+from poppyhold.wire.messages import (
     Listed,
     MachineType,
     MalformedError,
@@ -29,13 +36,6 @@
     convert,
     parse_submission,
 )
-from poppyhold.options import Options
-from poppyhold.placement import Quotas
-from poppyhold.recent import Recent
-from poppyhold.records import MachineRecord
-from poppyhold.settings import Settings
-from poppyhold.snapshot import Snapshot
-from poppyhold.store import ACTIVE, Data, Entry, final_writes
 
 
 class Controller:
--- a/src/poppyhold/leader_term.py
+++ b/src/poppyhold/node/leader_term.py
@@ -10,27 +10,27 @@
 from http import HTTPStatus
 from typing import Any, Protocol
 
-from poppyhold.authority import Authority
-from poppyhold.cancellations import Cancellation
-from poppyhold.cloud import CloudClient, CloudThread
-from poppyhold.committer import Committer, Unit
-from poppyhold.context import CommitRank, Data, Hints, Passed, Times
-from poppyhold.controller import Controller
-from poppyhold.election import Election, Term
-from poppyhold.http import Answer, Deferred, answer
-from poppyhold.lease_proxy import LeaseProxies, Trust
-from poppyhold.messages import MachineType, Report, ReportAnswer
+from poppyhold.cluster.authority import Authority
+from poppyhold.cluster.cancellations import Cancellation
+from poppyhold.cluster.election import Election, Term
+from poppyhold.cluster.lease_proxy import LeaseProxies, Trust
+from poppyhold.cluster.peers import Peers, Pong
+from poppyhold.concurrency.ranked_queue import DECISIONS, REPORTS, SUBMISSIONS, RankedQueue, Work
+from poppyhold.durable.committer import Committer, Unit
+from poppyhold.durable.snapshot import Snapshot, read_snapshot
+from poppyhold.durable.store import ACTIVE, Entry, RefusedError, Store, UncertainError
+from poppyhold.durable.watch import Watch
+from poppyhold.model.context import CommitRank, Data, Hints, Passed, Times
+from poppyhold.node.cloud import CloudClient, CloudThread
+from poppyhold.node.controller import Controller
+from poppyhold.node.users import Users
+from poppyhold.node.workers import Done, Senders
 from poppyhold.options import Options
-from poppyhold.peers import Peers, Pong
-from poppyhold.ranked_queue import DECISIONS, REPORTS, SUBMISSIONS, RankedQueue, Work
 from poppyhold.relay.assignment import Assignment
 from poppyhold.relay.leader import RelayServer
 from poppyhold.settings import Settings
-from poppyhold.snapshot import Snapshot, read_snapshot
-from poppyhold.store import ACTIVE, Entry, RefusedError, Store, UncertainError
-from poppyhold.users import Users
-from poppyhold.watch import Watch
-from poppyhold.workers import Done, Senders
+from poppyhold.wire.http import Answer, Deferred, answer
+from poppyhold.wire.messages import MachineType, Report, ReportAnswer
 
 log = logging.getLogger(__name__)
 
--- a/src/poppyhold/service.py
+++ b/src/poppyhold/node/service.py
@@ -8,29 +8,29 @@
 import threading
 import time
 
-from poppyhold.cancellations import Cancellation
-from poppyhold.cloud import CloudClient
-from poppyhold.context import Hints, Passed, Times
-from poppyhold.election import Election, Leader, Term
-from poppyhold.http import Answer, Deferred, Server, answer
-from poppyhold.leader_term import LeaderTerm
-from poppyhold.lease_proxy import LeaseProxies, LeaseProxy
-from poppyhold.machine_types import machine_type_records, read_machine_types
-from poppyhold.messages import MachineType, MalformedError, Report, ReportAnswer, decode, parse_report
-from poppyhold.options import Options
-from poppyhold.peers import Peers, Ping, Pong
-from poppyhold.relay.forwarding import ReportForwarding
-from poppyhold.relay.leader import report_patience_s
-from poppyhold.relay.messages import RelayHello
-from poppyhold.settings import Settings, split_address
-from poppyhold.store import (
+from poppyhold.cluster.cancellations import Cancellation
+from poppyhold.cluster.election import Election, Leader, Term
+from poppyhold.cluster.lease_proxy import LeaseProxies, LeaseProxy
+from poppyhold.cluster.peers import Peers, Ping, Pong
+from poppyhold.durable.machine_types import machine_type_records, read_machine_types
+from poppyhold.durable.store import (
     ConflictError,
     LeaseGoneError,
     RefusedError,
     Store,
     UncertainError,
 )
-from poppyhold.users import Users
+from poppyhold.model.context import Hints, Passed, Times
+from poppyhold.node.cloud import CloudClient
+from poppyhold.node.leader_term import LeaderTerm
+from poppyhold.node.users import Users
+from poppyhold.options import Options
+from poppyhold.relay.forwarding import ReportForwarding
+from poppyhold.relay.leader import report_patience_s
+from poppyhold.relay.messages import RelayHello
+from poppyhold.settings import Settings, split_address
+from poppyhold.wire.http import Answer, Deferred, Server, answer
+from poppyhold.wire.messages import MachineType, MalformedError, Report, ReportAnswer, decode, parse_report
 
 log = logging.getLogger(__name__)
 
--- a/src/poppyhold/users.py
+++ b/src/poppyhold/node/users.py
@@ -9,14 +9,9 @@
 
 import msgspec
 
-from poppyhold.cancellations import Cancellations
-from poppyhold.fleet import allowed_machine_types
-from poppyhold.http import Answer, answer
-from poppyhold.messages import JOB_ID, MachineType, MalformedError, Submission, decode, parse_submission
-from poppyhold.placement import Quotas
-from poppyhold.recent import Recent
-from poppyhold.settings import Settings
-from poppyhold.store import (
+from poppyhold.cluster.cancellations import Cancellations
+from poppyhold.concurrency.recent import Recent
+from poppyhold.durable.store import (
     ACTIVE,
     FINAL,
     ConflictError,
@@ -30,6 +25,11 @@
     put,
     stored_bytes,
 )
+from poppyhold.model.fleet import allowed_machine_types
+from poppyhold.scheduling.placement import Quotas
+from poppyhold.settings import Settings
+from poppyhold.wire.http import Answer, answer
+from poppyhold.wire.messages import JOB_ID, MachineType, MalformedError, Submission, decode, parse_submission
 
 log = logging.getLogger(__name__)
 
--- a/src/poppyhold/workers.py
+++ b/src/poppyhold/node/workers.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-from poppyhold.context import OK, REFUSED, UNSENT, UNSURE, Data
-from poppyhold.http_client import Client, NoAnswerError, NotSentError
-from poppyhold.messages import MalformedError, Report, parse_report
+from poppyhold.model.context import OK, REFUSED, UNSENT, UNSURE, Data
 from poppyhold.settings import ConfigError, Settings, split_address
+from poppyhold.wire.http_client import Client, NoAnswerError, NotSentError
+from poppyhold.wire.messages import MalformedError, Report, parse_report
 
 log = logging.getLogger(__name__)
 
--- a/src/poppyhold/relay/assignment.py
+++ b/src/poppyhold/relay/assignment.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from poppyhold.context import Times
+from poppyhold.model.context import Times
 from poppyhold.relay.mode import RelayMode
 
 # No relay takes more than this times its even share of the workers.
--- a/src/poppyhold/relay/forwarding.py
+++ b/src/poppyhold/relay/forwarding.py
@@ -7,13 +7,13 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-from poppyhold.election import Leader
-from poppyhold.http import Answer, Deferred, answer
-from poppyhold.messages import Report, ReportAnswer
+from poppyhold.cluster.election import Leader
 from poppyhold.relay.leader import report_patience_s
 from poppyhold.relay.link import RelayLink, RelayTimes
 from poppyhold.relay.messages import Outcome, RelayedAnswer, RelayHello
 from poppyhold.settings import Settings, split_address
+from poppyhold.wire.http import Answer, Deferred, answer
+from poppyhold.wire.messages import Report, ReportAnswer
 
 
 class ReportForwarding:
--- a/src/poppyhold/relay/intake.py
+++ b/src/poppyhold/relay/intake.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from poppyhold.messages import Report, ReportAnswer
 from poppyhold.relay.assignment import Assignment
 from poppyhold.relay.messages import AnswerBatch, Heartbeat, Outcome, RelayedAnswer, ReportBatch
+from poppyhold.wire.messages import Report, ReportAnswer
 
 
 class RelayState:
--- a/src/poppyhold/relay/leader.py
+++ b/src/poppyhold/relay/leader.py
@@ -9,13 +9,13 @@
 
 import msgspec
 
-from poppyhold.frames import receive, send_at_once, shut
-from poppyhold.messages import Report, ReportAnswer
-from poppyhold.ranked_queue import DECISIONS, REPORTS, Work
+from poppyhold.concurrency.ranked_queue import DECISIONS, REPORTS, Work
 from poppyhold.relay.assignment import Assignment
 from poppyhold.relay.intake import RelayIntake, RelayState
 from poppyhold.relay.messages import AnswerBatch, Outcome, RelayedAnswer, RelayHello, ReportBatch
 from poppyhold.settings import Workers
+from poppyhold.wire.frames import receive, send_at_once, shut
+from poppyhold.wire.messages import Report, ReportAnswer
 
 _decoder = msgspec.msgpack.Decoder(ReportBatch)
 # A worker waits so long for the answer to a report.
--- a/src/poppyhold/relay/link.py
+++ b/src/poppyhold/relay/link.py
@@ -12,10 +12,10 @@
 
 import msgspec
 
-from poppyhold.frames import receive, send, shut
-from poppyhold.messages import Report
 from poppyhold.relay.messages import AnswerBatch, RelayHello
 from poppyhold.relay.queue import ReportQueue, Respond, Response
+from poppyhold.wire.frames import receive, send, shut
+from poppyhold.wire.messages import Report
 
 log = logging.getLogger(__name__)
 
--- a/src/poppyhold/relay/messages.py
+++ b/src/poppyhold/relay/messages.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from poppyhold.messages import Command, Report
+from poppyhold.wire.messages import Command, Report
 
 
 class RelayHello(msgspec.Struct, frozen=True, array_like=True, tag="relay"):
--- a/src/poppyhold/relay/queue.py
+++ b/src/poppyhold/relay/queue.py
@@ -12,8 +12,8 @@
 
 import msgspec
 
-from poppyhold.messages import Report
 from poppyhold.relay.messages import AnswerBatch, FullReport, Heartbeat, Outcome, RelayedAnswer, ReportBatch
+from poppyhold.wire.messages import Report
 
 # Called once for each report: with the leader's answer, or with None if there is none in time.
 Respond = Callable[[RelayedAnswer | None], None]
--- a/src/poppyhold/scale/routes.py
+++ b/src/poppyhold/scale/routes.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from poppyhold.messages import decode
 from poppyhold.scale.standins import CloudStandIn, StateStandIn, Status
+from poppyhold.wire.messages import decode
 
 _LARGEST_LIST = 500
 
--- a/src/poppyhold/scale/run.py
+++ b/src/poppyhold/scale/run.py
@@ -14,6 +14,7 @@
 import msgspec
 import psutil
 
+from poppyhold.durable.store import LEAD
 from poppyhold.scale.checks import RuleChecks
 from poppyhold.scale.controllers import ControllerProcess, Controllers, team_limits
 from poppyhold.scale.fleet import Fleet
@@ -23,7 +24,6 @@
 from poppyhold.scale.result import ControllerResult, Result, TroubleResult
 from poppyhold.scale.standins import WorkerStandIn
 from poppyhold.scale.users import Users
-from poppyhold.store import LEAD
 
 _SAMPLE_S, _PROGRESS_S, _COUNT_S, _LOOP_S, _WATCH_S = 1.0, 5.0, 0.5, 0.05, 0.02
 # Listing a process's connections takes long where there are thousands.
--- a/src/poppyhold/scale/wire.py
+++ b/src/poppyhold/scale/wire.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 on an event loop: a server and a client for thousands of connections in one process.
 
-The controllers themselves use threads (`poppyhold.http`). A load of some thousand workers in one process
+The controllers themselves use threads (`poppyhold.wire.http`). A load of some thousand workers in one process
 would mostly measure its own threads, so that the load side alone runs on asyncio.
 """
 
@@ -11,7 +11,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from poppyhold.messages import MalformedError, decode, encode
+from poppyhold.wire.messages import MalformedError, decode, encode
 
 Data = dict[str, Any]
 Status = tuple[int, Data]
--- /dev/null
+++ b/src/poppyhold/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Which task starts when and where: admission by OASiS, placement, dispatch."""
--- a/src/poppyhold/admission.py
+++ b/src/poppyhold/scheduling/admission.py
@@ -7,16 +7,16 @@
 
 import msgspec
 
-from poppyhold.context import CommitRank, Context
-from poppyhold.estimates import Estimates
-from poppyhold.fleet import NOTHING, Attempt, Job, Machine, Room, plus
-from poppyhold.ledger import Ledger
-from poppyhold.messages import convert
-from poppyhold.planner import Plan, Planner
-from poppyhold.pricing import Pricing
-from poppyhold.records import PlanRecord
-from poppyhold.store import ACTIVE as ACTIVE_KEYS
-from poppyhold.store import PLAN, Data, put, stored_bytes
+from poppyhold.durable.records import PlanRecord
+from poppyhold.durable.store import ACTIVE as ACTIVE_KEYS
+from poppyhold.durable.store import PLAN, Data, put, stored_bytes
+from poppyhold.model.context import CommitRank, Context
+from poppyhold.model.fleet import NOTHING, Attempt, Job, Machine, Room, plus
+from poppyhold.scheduling.estimates import Estimates
+from poppyhold.scheduling.ledger import Ledger
+from poppyhold.scheduling.planner import Plan, Planner
+from poppyhold.scheduling.pricing import Pricing
+from poppyhold.wire.messages import convert
 
 log = logging.getLogger(__name__)
 
--- a/src/poppyhold/dispatch.py
+++ b/src/poppyhold/scheduling/dispatch.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from poppyhold.admission import Admission
-from poppyhold.attempts import Attempts
-from poppyhold.context import Context
-from poppyhold.fleet import NOTHING, Attempt, Job, Machine, Room, how_many, plus
-from poppyhold.gang_placement import GangPlacement
-from poppyhold.gangs import GangState
-from poppyhold.placement import Choice, Placement, Quotas, Search, fetch_wait, may_use, zone_allows
-from poppyhold.relocation import Relocation
+from poppyhold.execution.attempts import Attempts
+from poppyhold.execution.gangs import GangState
+from poppyhold.model.context import Context
+from poppyhold.model.fleet import NOTHING, Attempt, Job, Machine, Room, how_many, plus
+from poppyhold.scheduling.admission import Admission
+from poppyhold.scheduling.gang_placement import GangPlacement
+from poppyhold.scheduling.placement import Choice, Placement, Quotas, Search, fetch_wait, may_use, zone_allows
+from poppyhold.scheduling.relocation import Relocation
 
 # Leases after which a job that has not begun is no longer passed over for more valuable ones. With twice as
 # many, large arrays of a small fleet under overload began four minutes and more behind their submission.
--- a/src/poppyhold/estimates.py
+++ b/src/poppyhold/scheduling/estimates.py
@@ -4,7 +4,7 @@
 
 import math
 
-from poppyhold.fleet import Job
+from poppyhold.model.fleet import Job
 
 
 class Estimates:
--- a/src/poppyhold/gang_placement.py
+++ b/src/poppyhold/scheduling/gang_placement.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from poppyhold.fleet import NOTHING, Attempt, Job, Machine, Room, how_many, plus, zone_limit
-from poppyhold.placement import Choice, Placement, fetch_wait, may_use
+from poppyhold.model.fleet import NOTHING, Attempt, Job, Machine, Room, how_many, plus, zone_limit
+from poppyhold.scheduling.placement import Choice, Placement, fetch_wait, may_use
 
 # A machine and how many tasks have room on it.
 Option = tuple[int, Machine]
--- a/src/poppyhold/ledger.py
+++ b/src/poppyhold/scheduling/ledger.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from poppyhold.fleet import NOTHING, Room, plus
+from poppyhold.model.fleet import NOTHING, Room, plus
 
 # In place of a slot: every slot without bookings of its own.
 STANDING = -1
--- a/src/poppyhold/placement.py
+++ b/src/poppyhold/scheduling/placement.py
@@ -8,9 +8,9 @@
 
 import msgspec
 
-from poppyhold.fleet import EPSILON, NOTHING, Attempt, Job, Machine, Room, fits, plus, zone_limit
-from poppyhold.messages import BEFORE_IMAGE, STOPPABLE
+from poppyhold.model.fleet import EPSILON, NOTHING, Attempt, Job, Machine, Room, fits, plus, zone_limit
 from poppyhold.settings import Team
+from poppyhold.wire.messages import BEFORE_IMAGE, STOPPABLE
 
 # Fetches take a third longer at times, as PROTOCOL says.
 _FETCH_SPREAD = 4 / 3
--- a/src/poppyhold/planner.py
+++ b/src/poppyhold/scheduling/planner.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from poppyhold.fleet import Job, Room, how_many, zone_limit
-from poppyhold.ledger import STANDING, Ledger, Row
-from poppyhold.pricing import Pricing, priced, shares_of
+from poppyhold.model.fleet import Job, Room, how_many, zone_limit
+from poppyhold.scheduling.ledger import STANDING, Ledger, Row
+from poppyhold.scheduling.pricing import Pricing, priced, shares_of
 
 INFINITE = float("inf")
 
--- a/src/poppyhold/pricing.py
+++ b/src/poppyhold/scheduling/pricing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from poppyhold.fleet import Job, Room
+from poppyhold.model.fleet import Job, Room
 from poppyhold.options import Design
 
 
--- a/src/poppyhold/relocation.py
+++ b/src/poppyhold/scheduling/relocation.py
@@ -14,10 +14,10 @@
 
 import msgspec
 
-from poppyhold.context import Times
-from poppyhold.fleet import EPSILON, NOTHING, Attempt, Job, Machine, Room, fits, plus
-from poppyhold.messages import TaskState
-from poppyhold.placement import Choice, fetch_wait, may_use, zone_allows
+from poppyhold.model.context import Times
+from poppyhold.model.fleet import EPSILON, NOTHING, Attempt, Job, Machine, Room, fits, plus
+from poppyhold.scheduling.placement import Choice, fetch_wait, may_use, zone_allows
+from poppyhold.wire.messages import TaskState
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/src/poppyhold/wire/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP, the outside protocols and the frames between controllers."""
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -5,10 +5,10 @@
 from pathlib import Path
 from typing import Any
 
+from poppyhold.durable.store import TOKEN
 from poppyhold.relay.mode import RelayMode
 from poppyhold.scale.jobs import submission
 from poppyhold.settings import NextState, Objective, Team
-from poppyhold.store import TOKEN
 from world import World
 
 FOLDER = Path(__file__).parent / "scenarios"
--- a/tests/sim_node.py
+++ b/tests/sim_node.py
@@ -8,30 +8,12 @@
 
 import msgspec
 
-from poppyhold.authority import Authority
-from poppyhold.committer import Writer
-from poppyhold.connectivity import Connectivity
-from poppyhold.context import OK, REFUSED, UNSENT, UNSURE, CommitRank, Passed, Times
-from poppyhold.controller import Controller
-from poppyhold.lease_proxy import LeaseProxies, LeaseProxy, Trust
-from poppyhold.messages import (
-    Listed,
-    MachineType,
-    Report,
-    ReportAnswer,
-    convert,
-    encode,
-    parse_report,
-)
-from poppyhold.options import Options
-from poppyhold.relay.assignment import Assignment
-from poppyhold.relay.intake import RelayIntake, RelayState
-from poppyhold.relay.leader import report_patience_s
-from poppyhold.relay.mode import RelayMode
-from poppyhold.scale.jobs import Data
-from poppyhold.scale.standins import StateStandIn
-from poppyhold.snapshot import read_snapshot
-from poppyhold.store import (
+from poppyhold.cluster.authority import Authority
+from poppyhold.cluster.connectivity import Connectivity
+from poppyhold.cluster.lease_proxy import LeaseProxies, LeaseProxy, Trust
+from poppyhold.durable.committer import Writer
+from poppyhold.durable.snapshot import read_snapshot
+from poppyhold.durable.store import (
     ACTIVE,
     LEAD,
     TOKEN,
@@ -42,7 +24,25 @@
     UncertainError,
     put,
 )
-from poppyhold.users import Users
+from poppyhold.model.context import OK, REFUSED, UNSENT, UNSURE, CommitRank, Passed, Times
+from poppyhold.node.controller import Controller
+from poppyhold.node.users import Users
+from poppyhold.options import Options
+from poppyhold.relay.assignment import Assignment
+from poppyhold.relay.intake import RelayIntake, RelayState
+from poppyhold.relay.leader import report_patience_s
+from poppyhold.relay.mode import RelayMode
+from poppyhold.scale.jobs import Data
+from poppyhold.scale.standins import StateStandIn
+from poppyhold.wire.messages import (
+    Listed,
+    MachineType,
+    Report,
+    ReportAnswer,
+    convert,
+    encode,
+    parse_report,
+)
 from sim_relay import SimRelay
 
 if TYPE_CHECKING:
--- a/tests/sim_relay.py
+++ b/tests/sim_relay.py
@@ -5,13 +5,13 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from poppyhold.messages import ReportAnswer, parse_report
 from poppyhold.relay.intake import RelayState
 from poppyhold.relay.leader import report_patience_s
 from poppyhold.relay.link import RelayTimes
 from poppyhold.relay.messages import AnswerBatch, Outcome, RelayedAnswer, ReportBatch
 from poppyhold.relay.queue import ReportQueue, Response
 from poppyhold.scale.standins import Data
+from poppyhold.wire.messages import ReportAnswer, parse_report
 
 if TYPE_CHECKING:
     from sim_node import SimLeaderTerm, SimNode
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -4,9 +4,9 @@
 
 from typing import Any
 
-from poppyhold.messages import Command, CommandKind
 from poppyhold.scale.jobs import submission
 from poppyhold.settings import Team
+from poppyhold.wire.messages import Command, CommandKind
 from sim_node import SimLeaderTerm
 from world import World
 
--- a/tests/test_connectivity.py
+++ b/tests/test_connectivity.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from poppyhold.connectivity import Connectivity
-from poppyhold.election import Election, Term
+from poppyhold.cluster.connectivity import Connectivity
+from poppyhold.cluster.election import Election, Term
+from poppyhold.durable.store import RefusedError, Store, UncertainError
 from poppyhold.options import Options
 from poppyhold.settings import Team
-from poppyhold.store import RefusedError, Store, UncertainError
 from world import World
 
 
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -9,10 +9,16 @@
 import msgspec
 import pytest
 
-from poppyhold.completions import Layout, decode_bits
-from poppyhold.fleet import make_job
-from poppyhold.machine_types import machine_type_records
-from poppyhold.messages import (
+from poppyhold.durable.machine_types import machine_type_records
+from poppyhold.durable.store import DONE_STRETCHES, DONE_TASKS, MACHINE_TYPES, MORE_MACHINE_TYPES
+from poppyhold.execution.completions import Layout, decode_bits
+from poppyhold.model.fleet import make_job
+from poppyhold.options import load_options, parse_options
+from poppyhold.scale.jobs import build_data as world_build
+from poppyhold.scale.jobs import submission
+from poppyhold.scale.jobs import wire as as_sent
+from poppyhold.settings import ConfigError, NextState, State, Team, load_settings
+from poppyhold.wire.messages import (
     MachineType,
     MachineTypes,
     MalformedError,
@@ -21,12 +27,6 @@
     parse_report,
     parse_submission,
 )
-from poppyhold.options import load_options, parse_options
-from poppyhold.scale.jobs import build_data as world_build
-from poppyhold.scale.jobs import submission
-from poppyhold.scale.jobs import wire as as_sent
-from poppyhold.settings import ConfigError, NextState, State, Team, load_settings
-from poppyhold.store import DONE_STRETCHES, DONE_TASKS, MACHINE_TYPES, MORE_MACHINE_TYPES
 from world import World
 
 
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from poppyhold.fleet import Job
-from poppyhold.gangs import Gangs, GangState
-from poppyhold.messages import ExitCause, TaskState
+from poppyhold.execution.gangs import Gangs, GangState
+from poppyhold.model.fleet import Job
 from poppyhold.scale.jobs import submission
+from poppyhold.wire.messages import ExitCause, TaskState
 from test_attempts import leading_world
 from world import World
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -6,21 +6,21 @@
 
 import pytest
 
-from poppyhold.attempts import Attempts
-from poppyhold.authority import Authority
-from poppyhold.cancellations import Cancellations
-from poppyhold.connectivity import Connectivity
-from poppyhold.controller import Controller
-from poppyhold.direct_commands import DirectCommands
-from poppyhold.dispatch import Dispatcher, Pass
-from poppyhold.fleet import DONE, NOTHING, Job, Machine, Room, how_many
-from poppyhold.gang_placement import GangPlacement
-from poppyhold.gangs import Gangs, GangState
-from poppyhold.hires import Hires
-from poppyhold.lease_proxy import LeaseProxies, LeaseProxy
-from poppyhold.machine_monitor import MachineMonitor, Survey
-from poppyhold.placement import Quotas
-from poppyhold.relocation import Relocation
+from poppyhold.cluster.authority import Authority
+from poppyhold.cluster.cancellations import Cancellations
+from poppyhold.cluster.connectivity import Connectivity
+from poppyhold.cluster.lease_proxy import LeaseProxies, LeaseProxy
+from poppyhold.execution.attempts import Attempts
+from poppyhold.execution.direct_commands import DirectCommands
+from poppyhold.execution.gangs import Gangs, GangState
+from poppyhold.machines.hires import Hires
+from poppyhold.machines.machine_monitor import MachineMonitor, Survey
+from poppyhold.model.fleet import DONE, NOTHING, Job, Machine, Room, how_many
+from poppyhold.node.controller import Controller
+from poppyhold.scheduling.dispatch import Dispatcher, Pass
+from poppyhold.scheduling.gang_placement import GangPlacement
+from poppyhold.scheduling.placement import Quotas
+from poppyhold.scheduling.relocation import Relocation
 from scenario import FOLDER, Scenario, variants
 
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -6,13 +6,13 @@
 
 import pytest
 
-from poppyhold.election import Election, Term
-from poppyhold.lease_proxy import Trust
-from poppyhold.messages import encode, parse_report
+from poppyhold.cluster.election import Election, Term
+from poppyhold.cluster.lease_proxy import Trust
+from poppyhold.durable.store import ACTIVE, FINAL, LEAD, PLAN, Entry, UncertainError
 from poppyhold.options import Options
 from poppyhold.scale.jobs import submission, wire
 from poppyhold.settings import Team
-from poppyhold.store import ACTIVE, FINAL, LEAD, PLAN, Entry, UncertainError
+from poppyhold.wire.messages import encode, parse_report
 from sim_node import SimLeaderTerm
 from test_attempts import leading_world
 from test_store import Fickle
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,18 +9,18 @@
 import msgspec
 import pytest
 
-from poppyhold.authority import Authority
-from poppyhold.cancellations import Cancellations
-from poppyhold.frames import send
-from poppyhold.http import Answer
-from poppyhold.messages import encode
+from poppyhold.cluster.authority import Authority
+from poppyhold.cluster.cancellations import Cancellations
+from poppyhold.cluster.peers import Peers, Ping, Pong, receive_opening
+from poppyhold.node.service import Node
 from poppyhold.options import Options
-from poppyhold.peers import Peers, Ping, Pong, receive_opening
 from poppyhold.relay.messages import RelayHello
 from poppyhold.scale.controllers import free_port
 from poppyhold.scale.jobs import submission, wire
-from poppyhold.service import Node
 from poppyhold.settings import Known, Outside, Team
+from poppyhold.wire.frames import send
+from poppyhold.wire.http import Answer
+from poppyhold.wire.messages import encode
 from test_smoke import Outside as OutsideStandIns
 from test_smoke import eventually
 from world import World
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -8,15 +8,15 @@
 import pytest
 
 import world
-from poppyhold.fleet import Job, fits, make_job, plus
-from poppyhold.ledger import Ledger
-from poppyhold.messages import Submission, parse_submission
+from poppyhold.durable.store import ACTIVE, Entry
+from poppyhold.model.fleet import Job, fits, make_job, plus
 from poppyhold.options import Design
-from poppyhold.planner import Planner
-from poppyhold.pricing import Pricing, priced, shares_of
 from poppyhold.scale import jobs
+from poppyhold.scheduling.ledger import Ledger
+from poppyhold.scheduling.planner import Planner
+from poppyhold.scheduling.pricing import Pricing, priced, shares_of
 from poppyhold.settings import Team
-from poppyhold.store import ACTIVE, Entry
+from poppyhold.wire.messages import Submission, parse_submission
 
 SLOT_S = 60.0
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -12,11 +12,11 @@
 import msgspec
 import pytest
 
-from poppyhold.context import Times
-from poppyhold.messages import Command, CommandKind, Report, ReportAnswer, TaskReport
+from poppyhold.cluster.peers import Ping, Pong
+from poppyhold.concurrency.ranked_queue import Work
+from poppyhold.durable.store import LEAD
+from poppyhold.model.context import Times
 from poppyhold.options import Options, load_options, parse_options
-from poppyhold.peers import Ping, Pong
-from poppyhold.ranked_queue import Work
 from poppyhold.relay.assignment import Assignment
 from poppyhold.relay.intake import RelayIntake, RelayState
 from poppyhold.relay.leader import RelayServer
@@ -25,7 +25,7 @@
 from poppyhold.relay.mode import RelayMode
 from poppyhold.relay.queue import ReportQueue
 from poppyhold.settings import ConfigError, Workers
-from poppyhold.store import LEAD
+from poppyhold.wire.messages import Command, CommandKind, Report, ReportAnswer, TaskReport
 from scenario import Scenario
 from test_smoke import eventually
 from world import World
--- a/tests/test_smoke.py
+++ b/tests/test_smoke.py
@@ -17,15 +17,15 @@
 import msgspec
 import pytest
 
-from poppyhold.http import Answer, Deferred, Server
-from poppyhold.http_client import Client, NoAnswerError, NotSentError
-from poppyhold.messages import decode, encode
+from poppyhold.node.workers import Done, Lane
 from poppyhold.scale.controllers import free_port
 from poppyhold.scale.jobs import build_data, submission, wire
 from poppyhold.scale.routes import cloud_route, parse_query, state_route
 from poppyhold.scale.standins import CloudStandIn, StateStandIn, WorkerStandIn
 from poppyhold.settings import MachineLimits, Workers, strains
-from poppyhold.workers import Done, Lane
+from poppyhold.wire.http import Answer, Deferred, Server
+from poppyhold.wire.http_client import Client, NoAnswerError, NotSentError
+from poppyhold.wire.messages import decode, encode
 from world import World
 
 ROOT = Path(__file__).resolve().parent.parent
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -11,10 +11,8 @@
 
 import pytest
 
-from poppyhold.committer import Committer, Unit, Writer
-from poppyhold.context import CommitRank
-from poppyhold.scale.standins import StateStandIn
-from poppyhold.store import (
+from poppyhold.durable.committer import Committer, Unit, Writer
+from poppyhold.durable.store import (
     HIRE,
     LEAD,
     PLAN,
@@ -27,6 +25,8 @@
     UncertainError,
     put,
 )
+from poppyhold.model.context import CommitRank
+from poppyhold.scale.standins import StateStandIn
 from world import World
 
 Data = dict[str, Any]
@@ -112,7 +112,7 @@
     settings = World(1, 10.0, 30.0, []).settings
     pauses: list[float] = []
     clock = SimpleNamespace(monotonic=time.monotonic, sleep=pauses.append)
-    monkeypatch.setattr("poppyhold.committer.time", clock)
+    monkeypatch.setattr("poppyhold.durable.committer.time", clock)
     store = Fickle()
     stamp = store.commit({}, [put(LEAD, {"member": "hive-0"})])
     store.fates.extend(["refused"] * 12)
@@ -144,7 +144,7 @@
     # By reading: a transaction that got 400 was repeated for ever, and every later one of the leader waited.
     settings = World(1, 10.0, 30.0, []).settings
     clock = SimpleNamespace(monotonic=time.monotonic, sleep=lambda seconds: time.sleep(seconds / 100))
-    monkeypatch.setattr("poppyhold.committer.time", clock)
+    monkeypatch.setattr("poppyhold.durable.committer.time", clock)
     store = Limited(most_changes=1, largest=9)
     stamp = store.commit({}, [put(LEAD, {"member": "hive-0"})])
     committer = Committer(store, settings, stamp, lambda: None)
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -17,10 +17,10 @@
 import msgspec
 import pytest
 
-from poppyhold.lease_proxy import Trust
-from poppyhold.messages import MachineType, Submission
-from poppyhold.peers import Message, Ping, Pong
+from poppyhold.cluster.lease_proxy import Trust
+from poppyhold.cluster.peers import Message, Ping, Pong
 from poppyhold.settings import NextState, Team
+from poppyhold.wire.messages import MachineType, Submission
 from scenario import Scenario
 from world import World
 
@@ -56,7 +56,7 @@
 
 def _without_modules(text: str) -> str:
     """A field's type without the modules that its parts stand in, which nothing that is sent shows."""
-    return re.sub(r"\b(?:typing|poppyhold\.\w+)\.", "", text)
+    return re.sub(r"\b(?:typing|poppyhold(?:\.[a-z_]+)+)\.", "", text)
 
 
 @pytest.mark.parametrize(
--- a/tests/world.py
+++ b/tests/world.py
@@ -12,17 +12,17 @@
 from typing import NamedTuple
 
 from gang_standin import GangStandIn
-from poppyhold.http import Answer
-from poppyhold.messages import encode
+from poppyhold.durable.store import (
+    LEAD,
+)
 from poppyhold.relay.mode import RelayMode
 from poppyhold.scale.jobs import ZONES, Data, build_data, submission, wire
 from poppyhold.scale.standins import CloudStandIn, StateStandIn, WorkerStandIn
 from poppyhold.settings import Cloud as CloudLimits
 from poppyhold.settings import Deployment as DeploymentSettings
 from poppyhold.settings import Known, NextState, Objective, Outside, Settings, State, Team, Workers
-from poppyhold.store import (
-    LEAD,
-)
+from poppyhold.wire.http import Answer
+from poppyhold.wire.messages import encode
 from sim_node import STEP_S, SimNode
 
 # A worker waits so long for an answer.
