Workers that come to a relay beyond its share are sent on to others as they come

Need: workers of a relay that ends all go to one and the same next controller, by their own lists; the leader only moved them on afterwards, and connections beyond the limit were closed.

Change: the leader's answers to a relay's batches say how many workers it should have at the most, and which relays have less than an even share (two fields more; a version before reads past them). A relay that has so many sends a worker that comes to it to one of these, by rendezvous hashing, and takes it if it comes back. The log of a new leader says how long reading and its first plans took. Bad messages between controllers have a test each: oversized, truncated, malformed and half a length end their connection and no other.

--- a/src/poppyhold/node/leader_term.py
+++ b/src/poppyhold/node/leader_term.py
@@ -107,6 +107,7 @@
     # -- the decision thread -------------------------------------------------------------------------
 
     def _run(self) -> None:
+        began_at = time.monotonic()
         try:
             snapshot = self._read()
         except Exception:
@@ -115,6 +116,7 @@
             return
         if not self.alive:
             return
+        read_at = time.monotonic()
         # Before all else: relays whose workers wait connect while the rest is made ready.
         self.relays.review(snapshot.machines.keys())
         self.controller.load(snapshot, self._node.machine_types.values(), dict(self._node.peer_hints))
@@ -130,7 +132,13 @@
             on_synced=self._on_synced,
         ).start()
         self.relays.review(self.controller.ctx.fleet.machines.keys())
-        log.info("rebuilt: %d jobs, %d machines", len(snapshot.active), len(snapshot.machines))
+        log.info(
+            "rebuilt: %d jobs, %d machines; read in %.1f s, ready %.1f s later",
+            len(snapshot.active),
+            len(snapshot.machines),
+            read_at - began_at,
+            time.monotonic() - read_at,
+        )
         self._ready.set()
         tick_at = time.monotonic()
         while self.alive:
--- a/src/poppyhold/relay/assignment.py
+++ b/src/poppyhold/relay/assignment.py
@@ -11,6 +11,7 @@
 
 from poppyhold.model.context import Times
 from poppyhold.relay.mode import RelayMode
+from poppyhold.relay.ranks import rank
 
 # No relay takes more than this times its even share of the workers.
 _MOST_OF_SHARE = 1.25
@@ -178,6 +179,13 @@
         self._forget_relay(machine)
         return other
 
+    def advice(self, member: str) -> tuple[int, list[str]]:
+        """How many workers a relay should have at the most, and which others have less than an even share."""
+        now = self._clock()
+        even = self._workers / max(1, len(self._zones))
+        others = (other for other in self._zones if other != member and self._is_sound(other, now))
+        return self._most_each(), [other for other in others if self._load[other] < even]
+
     def _is_better_off_here(self, zone: str, relay: str) -> bool:
         """Whether a worker of the leader's zone would depend on another zone for want of a relay in its own.
 
@@ -215,7 +223,7 @@
         most = self._most_each()
         ranked = sorted(
             (member for member in self._zones if member != but and self._is_sound(member, now)),
-            key=lambda member: (self._zones[member] == zone, _rank(member, machine)),
+            key=lambda member: (self._zones[member] == zone, rank(member, machine)),
             reverse=True,
         )
         under_way = Counter(sent.relay for sent in self._sent.values())
@@ -242,12 +250,3 @@
         self._allowance = min(most, self._allowance + (now - self._allowed_at) * rate)
         self._allowed_at = now
         return self._allowance >= 1 and now - answered_at <= 2 * self._times.report_s
-
-
-def _rank(member: str, machine: str) -> float:
-    """A figure that every process draws alike.
-
-    A string as a seed is hashed with SHA-512, which `random` has loaded; `hashlib` would bring all of OpenSSL
-    into each controller, for 6 ms of its start and 3 MB.
-    """
-    return random.Random(f"{member} {machine}").random()
--- a/src/poppyhold/relay/forwarding.py
+++ b/src/poppyhold/relay/forwarding.py
@@ -11,10 +11,14 @@
 from poppyhold.relay.leader import report_patience_s
 from poppyhold.relay.link import RelayLink, RelayTimes
 from poppyhold.relay.messages import Outcome, RelayedAnswer, RelayHello
+from poppyhold.relay.overflow import Overflow
 from poppyhold.settings import Settings, split_address
 from poppyhold.wire.http import Answer, Deferred, answer
 from poppyhold.wire.messages import Report, ReportAnswer
 
+# Share of a relay's connections that workers may take; the rest is for users and for workers on their way.
+_WORKERS_SHARE = 0.9
+
 
 class ReportForwarding:
     """Passes workers' reports on while a leader wants it."""
@@ -39,14 +43,17 @@
         # When a leader last asked for reports to be relayed.
         self._asked_at = float("-inf")
         self._highest_token = 0
+        connections = settings.settings.machine_limits.connections
+        self._overflow = Overflow(int(connections * _WORKERS_SHARE), workers.lease_s, time.monotonic)
         self._link = RelayLink(
             RelayHello(settings.member, settings.domain),
             {known.member: split_address(known.address) for known in settings.known},
             self._target,
             self._seen_token,
             RelayTimes(workers.report_s, report_patience_s(workers), workers.lease_s),
-            settings.settings.machine_limits.connections,
+            connections,
             rng,
+            self._overflow.advise,
         )
 
     def start(self) -> None:
@@ -66,10 +73,13 @@
         """Whether a leader wanted reports to be relayed within the last lease."""
         return time.monotonic() - self._asked_at < self._lease_s
 
-    def handle(self, report: Report) -> Deferred | None:
-        """Pass a report on to the leader; None if reports are not relayed now."""
+    def handle(self, report: Report) -> Answer | Deferred | None:
+        """Pass a report to the leader, or its worker to another relay; None if none is relayed now."""
         if not self._link.is_open():
             return None
+        other = self._overflow.send_on(report.machine)
+        if other is not None:
+            return answer(HTTPStatus.MISDIRECTED_REQUEST, {"foreman": other})
 
         def defer(send: Callable[[Answer], None]) -> None:
             def respond(relayed: RelayedAnswer | None) -> None:
--- a/src/poppyhold/relay/intake.py
+++ b/src/poppyhold/relay/intake.py
@@ -57,7 +57,8 @@
     def handle(self, relay: RelayState, batch: ReportBatch, received_at: float) -> AnswerBatch:
         """Answer each report of a batch that arrived at that moment."""
         self._assignment.took(relay.member, batch.round_trip_ms / 1000)
-        return AnswerBatch(list(self._answers(relay, batch, received_at)))
+        answers = list(self._answers(relay, batch, received_at))
+        return AnswerBatch(answers, *self._assignment.advice(relay.member))
 
     def _answers(self, relay: RelayState, batch: ReportBatch, received_at: float) -> Iterator[RelayedAnswer]:
         for full in batch.reports:
--- a/src/poppyhold/relay/link.py
+++ b/src/poppyhold/relay/link.py
@@ -62,8 +62,13 @@
         times: RelayTimes,
         most: int,
         rng: random.Random,
+        on_advice: Callable[[int, list[str]], None] = lambda most, roomy: None,
     ) -> None:
-        """``target`` names the controller to relay to now; ``lowest_token`` is the highest token seen."""
+        """``target`` names the controller to relay to now; ``lowest_token`` is the highest token seen.
+
+        ``on_advice`` is told how many workers a relay should have, and which others have room.
+        """
+        self._on_advice = on_advice
         self._hello, self._addresses = hello, addresses
         self._target, self._lowest_token = target, lowest_token
         self._times, self._rng = times, rng
@@ -183,6 +188,7 @@
             self._wake.notify()
 
     def _answered(self, batch: AnswerBatch) -> None:
+        self._on_advice(batch.most_workers, batch.roomy)
         with self._wake:
             # The first answers of all show that the leader takes us.
             self._connected = True
@@ -199,6 +205,7 @@
                 self._connected = False
                 self._regaining.lost(target, time.monotonic())
             self._queue.connection_lost()
+        self._on_advice(0, [])
 
     def _give_up(self) -> None:
         with self._wake:
--- a/src/poppyhold/relay/messages.py
+++ b/src/poppyhold/relay/messages.py
@@ -74,3 +74,7 @@
     """The leader's answers to one batch, in any order."""
 
     answers: list[RelayedAnswer] = []
+    # Workers that the relay should have at the most, and relays with less than an even share for those that
+    # come to it beyond that; 0 from a version before these fields.
+    most_workers: int = 0
+    roomy: list[str] = []
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
 from typing import Any
@@ -17,7 +18,7 @@
 from poppyhold.relay.messages import RelayHello
 from poppyhold.scale.controllers import free_port
 from poppyhold.scale.jobs import submission, wire
-from poppyhold.settings import Known, Outside, Team
+from poppyhold.settings import Known, Outside, Team, split_address
 from poppyhold.wire.frames import send
 from poppyhold.wire.http import Answer
 from poppyhold.wire.messages import encode
@@ -221,3 +222,43 @@
         stop.set()
         node.stop()
         world.close()
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param((2**31).to_bytes(4, "big") + b"x" * 64, id="oversized"),
+        pytest.param((100).to_bytes(4, "big") + b"x" * 10, id="truncated"),
+        pytest.param((3).to_bytes(4, "big") + b"\xff\xff\xff", id="malformed"),
+        pytest.param(b"\x00\x00", id="half a length"),
+    ],
+)
+def test_a_bad_message_ends_its_connection_and_no_other(data: bytes) -> None:
+    settings = msgspec.structs.replace(
+        World(1, 10.0, 30.0, []).settings, back=f"127.0.0.1:{free_port()}", known=[]
+    )
+    pong = Pong("hive-0", 0, False, 0.0, -1, 0)
+    peers = Peers(
+        settings,
+        lambda: Ping("hive-0", 0, False, 0.0, -1, 0),
+        dict,
+        dict,
+        lambda ping: pong,
+        lambda answer, asked: None,
+        lambda member: None,
+        lambda: None,
+        lambda connection, hello: None,
+    )
+    peers.start()
+    address = split_address(settings.back)
+    try:
+        with socket.create_connection(address, 5.0) as good, socket.create_connection(address, 5.0) as bad:
+            bad.sendall(data)
+            bad.shutdown(socket.SHUT_WR)
+            # Closed with some of it unread, it is reset.
+            with contextlib.suppress(ConnectionResetError):
+                assert bad.recv(1) == b""
+            send(good, Ping("hive-1", 0, False, 0.0, -1, 0))
+            assert receive_opening(good) == pong
+    finally:
+        peers.stop()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import math
 import random
 import socket
 import threading
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 import msgspec
@@ -23,6 +24,7 @@
 from poppyhold.relay.link import RelayLink, RelayTimes
 from poppyhold.relay.messages import AnswerBatch, Outcome, RelayedAnswer, RelayHello, ReportBatch
 from poppyhold.relay.mode import RelayMode
+from poppyhold.relay.overflow import Overflow
 from poppyhold.relay.queue import ReportQueue
 from poppyhold.settings import ConfigError, Workers
 from poppyhold.wire.messages import Command, CommandKind, Report, ReportAnswer, TaskReport
@@ -604,3 +606,73 @@
     ends.target = None
     eventually(lambda: not ends.link.is_open())
     assert ends.told == []
+
+
+# -- workers of a relay that ends --------------------------------------------------------------------
+
+
+def _arrive(overflow: Overflow, machines: Iterable[str]) -> dict[str, str | None]:
+    return {machine: overflow.send_on(machine) for machine in machines}
+
+
+def test_workers_beyond_a_relays_share_are_spread_over_the_others() -> None:
+    now = [0.0]
+    overflow = Overflow(1100, 15.0, lambda: now[0])
+    own = [f"vm-{number:06d}" for number in range(800)]
+    assert set(_arrive(overflow, own).values()) == {None}
+    overflow.advise(1000, ["hive-3", "hive-4", "hive-5"])
+    # Another relay ends, and its 800 workers come here one after the other.
+    came = [f"vm-{number:06d}" for number in range(1000, 1800)]
+    sent = _arrive(overflow, came)
+    assert sum(other is None for other in sent.values()) == 200
+    spread = Counter(other for other in sent.values() if other is not None)
+    assert set(spread) == {"hive-3", "hive-4", "hive-5"}
+    assert max(spread.values()) < 1.25 * 600 / 3
+    # Those that were here stay, and so does one that comes back.
+    assert set(_arrive(overflow, own).values()) == {None}
+    back = next(machine for machine, other in sent.items() if other is not None)
+    assert overflow.send_on(back) is None
+
+
+def test_two_relays_never_send_a_worker_to_and_fro() -> None:
+    now = [0.0]
+    relays = {member: Overflow(10, 15.0, lambda: now[0]) for member in ("hive-1", "hive-2")}
+    for member, other in (("hive-1", "hive-2"), ("hive-2", "hive-1")):
+        _arrive(relays[member], [f"{member}-{number}" for number in range(10)])
+        relays[member].advise(10, [other])
+    at: str | None = "hive-1"
+    hops = 0
+    while at is not None:
+        at = relays[at].send_on("vm-000001")
+        hops += 1
+    assert hops == 3
+
+
+def test_nobody_is_sent_on_without_advice_or_behind_a_lost_connection() -> None:
+    overflow = Overflow(2, 15.0, lambda: 0.0)
+    assert set(_arrive(overflow, ["vm-1", "vm-2", "vm-3", "vm-4"]).values()) == {None}
+    overflow.advise(2, ["hive-3"])
+    assert overflow.send_on("vm-5") == "hive-3"
+    overflow.advise(0, [])
+    assert overflow.send_on("vm-6") is None
+
+
+def test_a_worker_that_left_makes_room() -> None:
+    now = [0.0]
+    overflow = Overflow(2, 15.0, lambda: now[0])
+    overflow.advise(2, ["hive-3"])
+    assert set(_arrive(overflow, ["vm-1", "vm-2"]).values()) == {None}
+    assert overflow.send_on("vm-3") == "hive-3"
+    now[0] = 16.0
+    assert overflow.send_on("vm-4") is None
+
+
+def test_the_leader_tells_relays_who_has_room() -> None:
+    plan = Plan()
+    for number in range(math.ceil(len(MACHINES) / len(ZONES))):
+        plan.assignment.heard(f"vm-{number:04d}", "hive-1")
+    most, roomy = plan.assignment.advice("hive-1")
+    assert most == math.ceil(1.25 * len(MACHINES) / len(ZONES))
+    assert set(roomy) == set(ZONES) - {"hive-1"}
+    # With an even share it is nobody's next.
+    assert set(plan.assignment.advice("hive-2")[1]) == set(ZONES) - {"hive-1", "hive-2"}
