A team's limit on a resource holds up no task that needs none of it

Change: a limit is compared only for a resource that the task needs; the rule (a team's tasks use no more than its limit) can't be broken by a task that adds nothing to the use. A test of its own.

--- a/src/poppyhold/scheduling/placement.py
+++ b/src/poppyhold/scheduling/placement.py
@@ -42,13 +42,18 @@
         )
 
     def allows(self, team: str, used: tuple[float, float], need: Room) -> bool:
-        """Whether one more task stays within the team's limit."""
+        """Whether one more task stays within the team's limit.
+
+        A task takes nothing of a resource that it does not need, whatever else may be in use of it: behind a
+        change of leader all accelerators of machines that were not heard yet count for every team, and urgent
+        work that needs none waited until the last of 4,000 machines was heard.
+        """
         limits = self._teams.get(team)
         if limits is None:
             return False
         return not (
-            (limits.cpus_max > 0 and used[0] + need[0] > limits.cpus_max + 1e-6)
-            or (limits.gpus_max > 0 and used[1] + need[1] > limits.gpus_max + 1e-6)
+            (limits.cpus_max > 0 and need[0] > 0 and used[0] + need[0] > limits.cpus_max + 1e-6)
+            or (limits.gpus_max > 0 and need[1] > 0 and used[1] + need[1] > limits.gpus_max + 1e-6)
         )
 
     def left(self, team: str, used: list[float]) -> tuple[float, float]:
@@ -65,8 +70,8 @@
         """By how much one more task would go beyond the team's limit."""
         limits = self._teams[team]
         return (
-            max(0.0, used[0] + need[0] - limits.cpus_max) if limits.cpus_max > 0 else 0.0,
-            max(0.0, used[1] + need[1] - limits.gpus_max) if limits.gpus_max > 0 else 0.0,
+            max(0.0, used[0] + need[0] - limits.cpus_max) if limits.cpus_max > 0 and need[0] > 0 else 0.0,
+            max(0.0, used[1] + need[1] - limits.gpus_max) if limits.gpus_max > 0 and need[1] > 0 else 0.0,
         )
 
     def within_guarantee(self, team: str, cpus: float, gpus: float) -> bool:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -31,7 +31,8 @@
 from poppyhold.scale.jobs import submission, wire
 from poppyhold.scheduling.free_room import Ranking, RoomView
 from poppyhold.scheduling.ledger import Ledger
-from poppyhold.settings import ConfigError, MachineLimits
+from poppyhold.scheduling.placement import Quotas
+from poppyhold.settings import ConfigError, MachineLimits, Team
 from poppyhold.settings import Settings as Deployed
 from poppyhold.wire.frames import send
 from poppyhold.wire.http import Server, answer
@@ -432,3 +433,12 @@
         space.used = space.used or take > 0
         left -= take
     return left
+
+
+def test_a_limit_on_what_a_task_does_not_need_keeps_nothing_from_starting() -> None:
+    quotas = Quotas([Team("alpha", cpus_max=64.0, gpus_max=8.0)])
+    # Machines that were not heard yet may hold more than the limit.
+    assert quotas.allows("alpha", (0.0, 4000.0), (1.0, 0.0, 1.0))
+    assert not quotas.allows("alpha", (0.0, 4000.0), (1.0, 1.0, 1.0))
+    assert not quotas.allows("alpha", (64.0, 0.0), (1.0, 0.0, 1.0))
+    assert quotas.allows("alpha", (63.0, 8.0), (1.0, 0.0, 1.0))
