Silent workers are asked at a pace: a leader that fell behind stayed behind by asking them

Cause: with the host of this machine taking a quarter to a half of its processors, a leader of 4,000 hollow workers fell behind; a thousand workers looked silent to it, and it asked each of them in every interval over a connection of its own.

Change: at most a quarter of the connections' number of silent workers is asked within an interval. Fleets with fewer silent ones at a time see no difference.

--- a/src/poppyhold/execution/direct_commands.py
+++ b/src/poppyhold/execution/direct_commands.py
@@ -21,6 +21,8 @@
         self._ctx, self._on_void, self._on_answered = ctx, on_void, on_answered
         self._raising = False
         self._began_at = ctx.clock()
+        # How many silent workers may be asked now, and as of when.
+        self._credit, self._credit_at = ctx.quiet_pace, self._began_at
         # Machines with commands to be sent. A walk over all machines behind every report took a tenth of the
         # decision thread's time at 650 of them.
         self._outbox: dict[str, Machine] = {}
@@ -50,6 +52,19 @@
         if len(ctx.fleet.machines) <= ctx.most_hastened or now - self._began_at > 1.5 * ctx.times.report_s:
             self.probe(machine, now)
 
+    def ask_quiet(self, machine: Machine, now: float) -> None:
+        """Ask a worker that is silent for a report, within a pace.
+
+        Each question is a connection and a thread of its own. Where a leader fell behind, a thousand workers
+        looked silent to it, and asking each of them anew in every interval kept it from their reports.
+        """
+        pace = self._ctx.quiet_pace
+        self._credit = min(pace, self._credit + (now - self._credit_at) * pace / self._ctx.times.report_s)
+        self._credit_at = now
+        if self._credit >= 1 and now >= machine.probe_at and not machine.do_busy:
+            self._credit -= 1
+            self.hasten(machine, now)
+
     def probe(self, machine: Machine, now: float) -> None:
         """Ask a worker for a report, and hand it our token."""
         if machine.do_busy or now < machine.probe_at or not machine.endpoint or machine.deleting:
--- a/src/poppyhold/machines/machine_monitor.py
+++ b/src/poppyhold/machines/machine_monitor.py
@@ -99,7 +99,7 @@
         quiet_s = self._quiet_s(machine, now)
         survey.quiet += self._is_quiet(quiet_s)
         if quiet_s > times.silent_s / 2:
-            self._attempts.commands.hasten(machine, now)
+            self._attempts.commands.ask_quiet(machine, now)
         if quiet_s > times.lost_s:
             if machine.taken_back_at is not None and now > machine.taken_back_at - times.lost_s:
                 self._deletions.mark(machine, "recalled")
--- a/src/poppyhold/model/context.py
+++ b/src/poppyhold/model/context.py
@@ -129,6 +129,8 @@
     hints: Hints = msgspec.field(default_factory=dict)
     # Up to so many machines are asked for reports at one moment as a term begins.
     most_hastened: float = math.inf
+    # So many silent workers are asked for reports within one interval.
+    quiet_pace: float = 1e9
     dirty: bool = True
     counter: int = 0
 
--- a/src/poppyhold/node/controller.py
+++ b/src/poppyhold/node/controller.py
@@ -37,6 +37,9 @@
     parse_submission,
 )
 
+# Silent workers that are asked for reports within an interval, as a share of the connections.
+_QUIET_SHARE = 0.25
+
 
 class Controller:
     """Takes events in order, one at a time, and answers reports."""
@@ -55,6 +58,7 @@
         self.ctx = Context(settings, options, edges, clock, wall, rng, token, token, times)
         connections = settings.settings.machine_limits.connections
         self.ctx.most_hastened = connections * options.relays.from_share
+        self.ctx.quiet_pace = connections * _QUIET_SHARE
         self._quotas = Quotas(settings.settings.teams)
         self.attempts = Attempts(self.ctx, self._task_done, self._attempt_over, self._task_ran)
         self.admission = Admission(self.ctx, lambda job: self.job_removed(ACTIVE + job.id))
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import msgspec
@@ -23,6 +24,7 @@
 from poppyhold.durable.prefix_reader import PrefixReader
 from poppyhold.durable.snapshot import SnapshotReader
 from poppyhold.durable.store import MACHINE, Entry, Page, RefusedError, Store
+from poppyhold.execution.direct_commands import DirectCommands
 from poppyhold.machines.space import Demand, Space
 from poppyhold.machines.space_index import SpaceIndex
 from poppyhold.model.fleet import Machine, fits, how_many, make_job, plus
@@ -442,3 +444,36 @@
     assert not quotas.allows("alpha", (0.0, 4000.0), (1.0, 1.0, 1.0))
     assert not quotas.allows("alpha", (64.0, 0.0), (1.0, 0.0, 1.0))
     assert quotas.allows("alpha", (63.0, 8.0), (1.0, 0.0, 1.0))
+
+
+def test_silent_workers_are_asked_at_a_pace() -> None:
+    now, asked = [0.0], []
+    machines = {f"vm-{number:06d}": _machine(f"vm-{number:06d}", "a", 0.0) for number in range(1000)}
+    for machine in machines.values():
+        machine.endpoint = "127.0.0.1:9"
+
+    def do(box: str, endpoint: str, body: Any, done: Any, patient: bool) -> None:
+        asked.append(box)
+
+    ctx: Any = SimpleNamespace(
+        clock=lambda: now[0],
+        times=SimpleNamespace(report_s=2.0, silent_s=7.0),
+        fleet=SimpleNamespace(machines=machines),
+        edges=SimpleNamespace(do=do),
+        token=1,
+        most_hastened=2000.0,
+        quiet_pace=100.0,
+    )
+    commands = DirectCommands(ctx, lambda attempt: None, lambda *answered: None)
+    for machine in machines.values():
+        commands.ask_quiet(machine, now[0])
+    assert len(asked) == 100
+    now[0] = 1.0
+    for machine in machines.values():
+        commands.ask_quiet(machine, now[0])
+    # Half an interval on, half as many more, and nobody whose answer is still out.
+    assert len(asked) == len(set(asked)) == 150
+    # As a term of few machines begins, all are asked at once.
+    for machine in machines.values():
+        commands.hasten(machine, now[0])
+    assert len(asked) == 1000
