--- a/src/poppyhold/relay/link.py
+++ b/src/poppyhold/relay/link.py
@@ -141,6 +141,7 @@
 
     def _serve(self, connection: socket.socket, target: str) -> None:
         """Send batches until the connection or the leader is gone."""
+        self._regaining.reached(time.monotonic())
         with self._wake:
             self._under_way.clear()
             self._round_trips.clear()
--- a/src/poppyhold/relay/regaining.py
+++ b/src/poppyhold/relay/regaining.py
@@ -31,6 +31,14 @@
         if self.is_on(now) and leader != self._lost_leader:
             self._until = min(now + self._patience_s, self._longest_until)
 
+    def reached(self, now: float) -> None:
+        """A new connection was accepted: the leader is not cut off from us, but slow.
+
+        Workers that were sent to a slow leader made it slower still.
+        """
+        if self.is_on(now):
+            self._until = min(now + self._patience_s, self._longest_until)
+
     def is_on(self, now: float) -> bool:
         """Whether reports are taken for the next connection."""
         return now < self._until
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -26,6 +26,7 @@
 from poppyhold.relay.mode import RelayMode
 from poppyhold.relay.overflow import Overflow
 from poppyhold.relay.queue import ReportQueue
+from poppyhold.relay.regaining import Regaining
 from poppyhold.settings import ConfigError, Workers
 from poppyhold.wire.messages import Command, CommandKind, Report, ReportAnswer, TaskReport
 from scenario import Scenario
@@ -676,3 +677,43 @@
     assert set(roomy) == set(ZONES) - {"hive-1"}
     # With an even share it is nobody's next.
     assert set(plan.assignment.advice("hive-2")[1]) == set(ZONES) - {"hive-1", "hive-2"}
+
+
+# -- behind a lost connection ------------------------------------------------------------------------
+
+
+def _regaining() -> Regaining:
+    regaining = Regaining(3.0, 6.0)
+    regaining.lost("hive-0", 100.0)
+    return regaining
+
+
+def test_a_leader_that_stays_away_is_waited_for_no_longer_than_a_worker_waits() -> None:
+    regaining = _regaining()
+    regaining.look("hive-0", 102.0)
+    assert regaining.is_on(102.9)
+    assert not regaining.is_on(103.1)
+
+
+def test_a_leader_that_changes_is_waited_for_within_a_bound() -> None:
+    regaining = _regaining()
+    regaining.look(None, 102.0)
+    assert regaining.is_on(104.9)
+    regaining.look("hive-1", 104.9)
+    assert regaining.is_on(105.9)
+    # However often it changes.
+    regaining.look(None, 105.9)
+    assert not regaining.is_on(106.1)
+    regaining.look("hive-2", 106.1)
+    assert not regaining.is_on(106.2)
+
+
+def test_a_leader_that_takes_connections_is_slow_and_not_cut_off() -> None:
+    regaining = _regaining()
+    regaining.reached(102.0)
+    assert regaining.is_on(104.9)
+    regaining.reached(104.9)
+    assert not regaining.is_on(106.1)
+    # Once workers were sent elsewhere, a connection alone brings nobody back.
+    regaining.reached(106.2)
+    assert not regaining.is_on(106.3)
