Reads: a follow that stays behind the store's revision is given up, each question asks alone

Need: a round followed until its view had come as far as the revision that it read. Every store met so far answers with its present revision; one whose follows never came up to it would be asked without end.

Change: after eight follows each question of the round asks for its own key, which is right whatever a follow says. A test of its own; in the drawn interleavings such a round answers nothing.

--- a/src/poppyhold/reads/catch_up.py
+++ b/src/poppyhold/reads/catch_up.py
@@ -13,6 +13,13 @@
 from poppyhold.durable.store import ACTIVE, Changes, Entry, LeaseGoneError, Page, Store
 from poppyhold.reads.job_view import JobView
 
+# Follows of one attempt, at the most. One is enough but where the store's answers are late.
+_MOST_FOLLOWS = 8
+
+
+class BehindError(Exception):
+    """The changes that the store tells do not come up to its own revision."""
+
 
 class ReadRevision(msgspec.Struct, frozen=True):
     """Read the store's present revision."""
@@ -55,6 +62,7 @@
     """
     present = yield ReadRevision()
     assert isinstance(present, int)
+    follows = 0
     while view.revision < present:
         if view.revision < 0:
             last_revision = yield from _read_anew(view)
@@ -62,6 +70,9 @@
             # come once more with the next ones; until all of them are there, the view could go back.
             present = max(present, last_revision)
             continue
+        follows += 1
+        if follows > _MOST_FOLLOWS:
+            raise BehindError
         try:
             changes = yield Follow(view.revision)
         except LeaseGoneError:
--- a/src/poppyhold/reads/job_reads.py
+++ b/src/poppyhold/reads/job_reads.py
@@ -10,7 +10,7 @@
 
 from poppyhold.concurrency.recent import Recent
 from poppyhold.durable.store import ACTIVE, LeaseGoneError, RefusedError, Store, UncertainError
-from poppyhold.reads.catch_up import carry_out, catch_up
+from poppyhold.reads.catch_up import BehindError, carry_out, catch_up
 from poppyhold.reads.job_view import JobView
 from poppyhold.reads.rounds import Round, Rounds
 
@@ -25,7 +25,7 @@
 
     # The view is at least as new as the round's beginning.
     CURRENT = auto()
-    # Too few questions for a shared read: each asks for its own key.
+    # Too few questions for a shared read, or a follow that stays behind: each asks for its own key.
     ASK_ALONE = auto()
     # The state service did not answer.
     FAILED = auto()
@@ -105,10 +105,8 @@
         """Carry a round out, and tell all that wait for it."""
         outcome = Outcome.FAILED
         try:
-            if begun.questions < self._fewest_shared:
-                outcome = Outcome.ASK_ALONE
-            elif self._catch_up():
-                outcome = Outcome.CURRENT
+            alone = begun.questions < self._fewest_shared
+            outcome = Outcome.ASK_ALONE if alone else self._catch_up()
         finally:
             with self._changed:
                 self._rounds.finish()
@@ -116,14 +114,17 @@
                 self._changed.notify_all()
         return outcome
 
-    def _catch_up(self) -> bool:
-        """Bring the view up to date; False if the state service does not answer."""
+    def _catch_up(self) -> Outcome:
+        """Bring the view up to date."""
         # The questions before go on reading the view that there is: it is replaced by a newer one as a whole.
         fresh = self._view.copy()
         try:
             carry_out(catch_up(fresh), self._store)
         except (RefusedError, UncertainError, LeaseGoneError):
-            return False
+            return Outcome.FAILED
+        except BehindError:
+            # Reads of single keys are right whatever a follow says of its revision.
+            return Outcome.ASK_ALONE
         with self._changed:
             self._view = fresh
-        return True
+        return Outcome.CURRENT
--- a/tests/test_reads.py
+++ b/tests/test_reads.py
@@ -18,7 +18,7 @@
 )
 
 from poppyhold.durable.store import ACTIVE, Changes, Entry, LeaseGoneError, Page, RefusedError, Store
-from poppyhold.reads.catch_up import Follow, ReadPage, ReadRevision, Step, carry_out, catch_up
+from poppyhold.reads.catch_up import BehindError, Follow, ReadPage, ReadRevision, Step, carry_out, catch_up
 from poppyhold.reads.job_reads import JobReads
 from poppyhold.reads.job_view import JobView
 from poppyhold.reads.rounds import Round, Rounds
@@ -186,7 +186,13 @@
             if node.waiting and node.begin():
                 self._finish(node, answered=True)
         elif node.answer is not None:
-            if node.deliver():
+            try:
+                over = node.deliver()
+            except BehindError:
+                # Each question asks for its own key instead, which is a write's own order.
+                self._finish(node, answered=False)
+                return
+            if over:
                 self._finish(node, answered=True)
         elif node.step is not None:
             try:
@@ -476,3 +482,19 @@
     carry_out(catch_up(view), store)
     assert (JOBS[0] in view, NO_JOB in view, view.revision) == (True, False, 7)
     assert store.requests == ["revision", "page"]
+
+
+class StoreThatStaysBehind(CountingStore):
+    """Its follows never come up to its own revision."""
+
+    def revision(self) -> int:
+        return super().revision() + 100
+
+
+def test_where_follows_stay_behind_each_question_asks_for_its_key() -> None:
+    store = StoreThatStaysBehind()
+    reads = JobReads(store, gather_s=0.0, patience_s=10.0, fewest_shared=1)
+    assert reads.is_active(JOBS[0])
+    assert not reads.is_active(NO_JOB)
+    assert store.requests.count("follow") <= 16
+    assert store.requests.count("get") == 2
