Re-read: pages put together in one place, figures that stood twice, a branch that could not be taken

Pages of a prefix were put together by the reader and once more by the steps of a shared read: PageCollector now does it for both. capacity repeated the relays' share, the page and share of lists and the lags that make a machine missing: it takes them from where they are used; the simulated node takes the leader's share of direct workers the same way. A view that a round brought up to date always has a revision, so the branch for one without is gone. Regaining extends its time in one place.

No behaviour changes; no test's expectation was touched.

--- a/src/poppyhold/capacity.py
+++ b/src/poppyhold/capacity.py
@@ -5,18 +5,16 @@
 import math
 from collections.abc import Iterator
 
+from poppyhold.machines.machine_list import LAGS_MISSING
+from poppyhold.node.cloud import LIST_PAGE
+from poppyhold.node.cloud_thread import LIST_SHARE
 from poppyhold.options import Options
+from poppyhold.relay.assignment import MOST_OF_SHARE
 from poppyhold.relay.mode import RelayMode
 from poppyhold.settings import BASE_MB, CONNECTION_MB, MACHINE_MB, Settings
 
 # The leader's processor time: cores a machine with its starts, and what a line through two runs leaves.
 _CORE_A_MACHINE, _CORE_BASE = 0.000194, -0.06
-# No relay takes more than this times its even share of the workers.
-_MOST_OF_SHARE = 1.25
-# Machines on a page of the cloud's list; the share of the cloud's requests that lists take.
-_LIST_PAGE, _LIST_SHARE = 500, 0.5
-# A machine that no list has shown for so many lags counts as missing: a list must not take longer.
-_LONGEST_LIST_LAGS = 3
 # Part of the state service's changes that the leader keeps to, and the leases within which it must have
 # recorded every machine of a fleet that begins at once.
 _LEADER_SHARE, _LONGEST_RECORDING_LEASES = 2 / 3, 8
@@ -43,8 +41,9 @@
     cores = _CORE_A_MACHINE * machines + _CORE_BASE
     if cores > limits.core_share:
         yield f"settings.machine_limits.core_share: {limits.core_share:g} of {cores:.2f} needed on the leader"
-    list_s = math.ceil(machines / _LIST_PAGE) / (deployment.cloud.rps * _LIST_SHARE)
-    if list_s > _LONGEST_LIST_LAGS * deployment.cloud.list_lag_s:
+    list_s = math.ceil(machines / LIST_PAGE) / (deployment.cloud.rps * LIST_SHARE)
+    # A machine that no list has shown for so long counts as missing.
+    if list_s > LAGS_MISSING * deployment.cloud.list_lag_s:
         yield f"settings.cloud.rps: reading the list of machines takes {list_s:.0f} s"
     recording_s = machines / (deployment.state.lowest.write_rps * _LEADER_SHARE)
     if recording_s > _LONGEST_RECORDING_LEASES * workers.lease_s:
@@ -56,4 +55,4 @@
     relays = controllers - 2
     if options.relays.mode is RelayMode.OFF or relays < 1:
         return machines
-    return math.ceil(min(machines, _MOST_OF_SHARE * machines / relays))
+    return math.ceil(min(machines, MOST_OF_SHARE * machines / relays))
--- a/src/poppyhold/machines/machine_list.py
+++ b/src/poppyhold/machines/machine_list.py
@@ -10,7 +10,7 @@
 # Lists may name a machine that was deleted for so many times their usual lag.
 _LAGS_REMEMBERED = 40
 # A machine that no list has shown for so many times the lag is most likely gone.
-_LAGS_MISSING = 3
+LAGS_MISSING = 3
 
 
 class MachineList:
@@ -37,7 +37,7 @@
         for machine in list(ctx.fleet.machines.values()):
             seen_at = max(machine.since, machine.listed_at, machine.last_report)
             unseen_s = listing.began_at - seen_at
-            if machine.name not in present and not machine.deleting and unseen_s > _LAGS_MISSING * lag:
+            if machine.name not in present and not machine.deleting and unseen_s > LAGS_MISSING * lag:
                 self._not_listed(machine)
 
     def _take_entry(self, entry: Listed, listed_at: float, now: float) -> None:
--- a/src/poppyhold/node/cloud.py
+++ b/src/poppyhold/node/cloud.py
@@ -20,6 +20,9 @@
 
 log = logging.getLogger(__name__)
 
+# Machines on a page of the list, at the most.
+LIST_PAGE = 500
+
 T = TypeVar("T")
 
 
@@ -39,7 +42,7 @@
     def page(self, since: str) -> MachineList | None:
         """One page of the list, or None."""
         after = f"since={since}&" if since else ""
-        return self._get(f"/machines?{after}most=500", MachineList)
+        return self._get(f"/machines?{after}most={LIST_PAGE}", MachineList)
 
     def _get(self, path: str, kind: type[T]) -> T | None:
         try:
--- a/src/poppyhold/node/cloud_thread.py
+++ b/src/poppyhold/node/cloud_thread.py
@@ -16,7 +16,7 @@
 log = logging.getLogger(__name__)
 
 # Share of the cloud's requests that lists may take: beside them there must be room for deletions and hires.
-_LIST_SHARE = 0.5
+LIST_SHARE = 0.5
 
 
 class ListReader:
@@ -49,7 +49,7 @@
         self._pages += 1
         self._entries += page.machines
         if page.more and page.machines:
-            self.due_at = now + self._gap_s / _LIST_SHARE
+            self.due_at = now + self._gap_s / LIST_SHARE
             return None
         listing = Listing(self._entries, self._began_at)
         self._begin_anew()
@@ -57,7 +57,7 @@
 
     def _begin_anew(self) -> None:
         """The next list is due half a lag behind the beginning of this one, or as long as its pages take."""
-        pages_s = self._pages * self._gap_s / _LIST_SHARE
+        pages_s = self._pages * self._gap_s / LIST_SHARE
         self.due_at = self._began_at + max(self._shortest_s, pages_s)
         self._pages, self._entries = 0, []
 
--- a/src/poppyhold/node/leader_term.py
+++ b/src/poppyhold/node/leader_term.py
@@ -36,7 +36,7 @@
 log = logging.getLogger(__name__)
 
 # Share of the connections that workers may take which had better not depend on relays; the rest is for users.
-_DIRECT_SHARE = 0.85
+DIRECT_SHARE = 0.85
 
 
 class Host(Protocol):
@@ -89,7 +89,7 @@
         self._assignment = Assignment(
             node.options.relays.mode,
             limits.connections * node.options.relays.from_share,
-            limits.connections * _DIRECT_SHARE,
+            limits.connections * DIRECT_SHARE,
             node.settings.member,
             node.settings.domain,
             times,
--- a/src/poppyhold/node/service.py
+++ b/src/poppyhold/node/service.py
@@ -308,7 +308,7 @@
     def _takes_relays(self, leader_term: LeaderTerm) -> bool:
         """Whether a term takes relays: before it has read how many machines there are, as the one before."""
         relays = leader_term.relays
-        return relays.wanted if relays.reviewed else relays.wanted or self._forwarding.is_wanted()
+        return relays.wanted or (not relays.reviewed and self._forwarding.is_wanted())
 
     def _serve_relay(self, connection: socket.socket, hello: RelayHello) -> None:
         leader_term = self._leader_term
--- a/src/poppyhold/reads/catch_up.py
+++ b/src/poppyhold/reads/catch_up.py
@@ -10,7 +10,8 @@
 
 import msgspec
 
-from poppyhold.durable.store import ACTIVE, Changes, Entry, LeaseGoneError, Page, Store
+from poppyhold.durable.prefix_reader import PageCollector
+from poppyhold.durable.store import ACTIVE, Changes, LeaseGoneError, Page, Store
 from poppyhold.reads.job_view import JobView
 
 # Follows of one attempt, at the most. One is enough but where the store's answers are late.
@@ -85,19 +86,13 @@
 
 def _read_anew(view: JobView) -> Generator[Step, int | Page | Changes, int]:
     """Read all active jobs, page by page; the revision of the last page."""
-    entries: list[Entry] = []
-    first_revision = -1
-    after = ""
-    while True:
-        page = yield ReadPage(after)
+    pages = PageCollector()
+    while not pages.complete:
+        page = yield ReadPage(pages.after)
         assert isinstance(page, Page)
-        if first_revision < 0:
-            first_revision = page.revision
-        entries += page.entries
-        if not page.more:
-            view.reset(entries, first_revision)
-            return page.revision
-        after = page.entries[-1].key
+        pages.add(page)
+    view.reset(pages.entries, pages.revision)
+    return pages.last_revision
 
 
 def carry_out(steps: Steps, store: Store) -> None:
--- a/src/poppyhold/reads/job_reads.py
+++ b/src/poppyhold/reads/job_reads.py
@@ -67,9 +67,7 @@
         if outcome is Outcome.CURRENT:
             # Behind its round the view only gets newer.
             with self._changed:
-                if self._view.revision >= 0:
-                    return job_id in self._view
-                outcome = Outcome.FAILED
+                return job_id in self._view
         if outcome is Outcome.ASK_ALONE:
             return self._store.get(ACTIVE + job_id) is not None
         raise RefusedError("the store's revision could not be read")
--- a/src/poppyhold/relay/assignment.py
+++ b/src/poppyhold/relay/assignment.py
@@ -14,7 +14,7 @@
 from poppyhold.relay.ranks import rank
 
 # No relay takes more than this times its even share of the workers.
-_MOST_OF_SHARE = 1.25
+MOST_OF_SHARE = 1.25
 # Workers that may be sent elsewhere at one moment, as a share of all.
 _BURST_SHARE = 1 / 16
 # Relays that let down so many workers within a lease get no more of them for a lease.
@@ -230,7 +230,7 @@
         return next((member for member in ranked if self._load[member] + under_way[member] < most), None)
 
     def _most_each(self) -> int:
-        return math.ceil(_MOST_OF_SHARE * self._workers / max(1, len(self._zones)))
+        return math.ceil(MOST_OF_SHARE * self._workers / max(1, len(self._zones)))
 
     def _is_sound(self, member: str, now: float) -> bool:
         lately = [at for at in self._complaints.get(member, ()) if now - at < self._times.lease_s]
--- a/src/poppyhold/relay/regaining.py
+++ b/src/poppyhold/relay/regaining.py
@@ -28,14 +28,18 @@
         One and the same that stays away may be cut off from us. A worker must not go for long from relay to
         relay that are all cut off from a leader which it reaches itself.
         """
-        if self.is_on(now) and leader != self._lost_leader:
-            self._until = min(now + self._patience_s, self._longest_until)
+        if leader != self._lost_leader:
+            self._extend(now)
 
     def reached(self, now: float) -> None:
         """A new connection was accepted: the leader is not cut off from us, but slow.
 
         Workers that were sent to a slow leader made it slower still.
         """
+        self._extend(now)
+
+    def _extend(self, now: float) -> None:
+        """Wait for another patience, as long as we wait at all, and within the longest time."""
         if self.is_on(now):
             self._until = min(now + self._patience_s, self._longest_until)
 
--- a/tests/sim_node.py
+++ b/tests/sim_node.py
@@ -29,6 +29,7 @@
 )
 from poppyhold.model.context import OK, REFUSED, UNSENT, UNSURE, CommitRank, Passed, Times
 from poppyhold.node.controller import Controller
+from poppyhold.node.leader_term import DIRECT_SHARE
 from poppyhold.node.users import Users
 from poppyhold.options import Options
 from poppyhold.reads.job_reads import JobReads
@@ -134,7 +135,7 @@
         self.assignment = Assignment(
             world.relays if node.relays else RelayMode.OFF,
             world.relays_from,
-            node.settings.settings.machine_limits.connections * 0.85,
+            node.settings.settings.machine_limits.connections * DIRECT_SHARE,
             node.member,
             node.zone,
             node.times,
