Shared reads keep to a share of the state service's requests

Change: all controllers together spend 0.4 of the requests on questions; concurrency.pace serves the committer as well.

--- a/src/poppyhold/durable/committer.py
+++ b/src/poppyhold/durable/committer.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from poppyhold.concurrency.pace import Pace
 from poppyhold.durable.store import (
     FENCE,
     LEAD,
@@ -96,8 +97,9 @@
         self._writer, self._on_deposed = Writer(store, lead_version), on_deposed
         limits = settings.settings.state.lowest
         self._ops = limits.txn_ops
-        # Two thirds of the writes: the rest is for the users' nodes and the election.
-        self._gap_s = 1.5 / limits.write_rps
+        # Two thirds of the writes: the rest is for the users' nodes and the election. A burst of a third of a
+        # second's worth goes out at once.
+        self._pace = Pace(limits.write_rps / 1.5, burst=self._ops / 2)
         self._pause_s = 2 / limits.rps
         self._longest_pause_s = max(self._pause_s, settings.settings.workers.report_s / 8)
         # By rank; each in order, lest the oldest starve in a burst.
@@ -148,15 +150,12 @@
             return units
 
     def _run(self) -> None:
-        credit_at = time.monotonic()
         while not self._stopped:
             units = self._take()
-            # A burst of a third of a second's worth goes out at once.
-            now = time.monotonic()
-            credit_at = max(credit_at, now - self._gap_s * self._ops / 2)
-            if credit_at > now:
-                time.sleep(credit_at - now)
-            credit_at += self._gap_s * sum(len(unit.writes) for unit in units)
+            wait_s = self._pace.ready_at() - time.monotonic()
+            if wait_s > 0:
+                time.sleep(wait_s)
+            self._pace.spend(sum(len(unit.writes) for unit in units), time.monotonic())
             self._carry_out(units)
 
     def _carry_out(self, units: list[Unit]) -> None:
--- a/src/poppyhold/node/users.py
+++ b/src/poppyhold/node/users.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from poppyhold.cluster.cancellations import Cancellations
+from poppyhold.concurrency.pace import Pace
 from poppyhold.concurrency.recent import Recent
 from poppyhold.durable.store import (
     ACTIVE,
@@ -28,7 +29,7 @@
 from poppyhold.model.fleet import allowed_machine_types
 from poppyhold.reads.job_reads import JobReads
 from poppyhold.scheduling.placement import Quotas
-from poppyhold.settings import Settings
+from poppyhold.settings import Deployment, Settings
 from poppyhold.wire.http import Answer, answer
 from poppyhold.wire.messages import JOB_ID, MachineType, MalformedError, Submission, decode, parse_submission
 
@@ -41,10 +42,19 @@
 _QUESTION_PATIENCE_S = 1.5
 # Questions that come within this share of a report's interval are answered together.
 _GATHER_RATIO = 0.05
+# Share of the state service's requests that all controllers together spend on questions. Without a bound five
+# controllers took twice what it allows, and submissions, decisions and renewals were refused beside them.
+_QUESTIONS_SHARE = 0.4
 # More cancellations than this would not fit into a message between controllers.
 _MOST_NAMED = 10_000
 
 
+def _questions_pace(deployment: Deployment) -> Pace:
+    """How fast one controller may ask the state service for its users' questions."""
+    per_second = deployment.state.rps * _QUESTIONS_SHARE / deployment.count
+    return Pace(per_second, burst=per_second * _GATHER_RATIO * 2)
+
+
 class Users:
     """Submissions, questions and cancellations."""
 
@@ -60,7 +70,9 @@
         """``counts`` tells a job's done and running tasks, for display; ``reads`` whether it is active."""
         self._settings, self._clock = settings, clock
         gather_s = settings.settings.workers.report_s * _GATHER_RATIO
-        self._reads = reads or JobReads(store, gather_s, _QUESTION_PATIENCE_S)
+        self._reads = reads or JobReads(
+            store, gather_s, _QUESTION_PATIENCE_S, pace=_questions_pace(settings.settings)
+        )
         self._store, self._machine_types, self._counts = store, machine_types, counts
         self._quotas = Quotas(settings.settings.teams)
         most = int(settings.settings.machine_limits.ram_mb * 100)
--- a/src/poppyhold/reads/job_reads.py
+++ b/src/poppyhold/reads/job_reads.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 import threading
 import time
 from collections import deque
 from collections.abc import Callable
 from enum import Enum, auto
 
+from poppyhold.concurrency.pace import Pace
 from poppyhold.concurrency.recent import Recent
 from poppyhold.durable.store import ACTIVE, LeaseGoneError, RefusedError, Store, UncertainError
 from poppyhold.reads.catch_up import BehindError, carry_out, catch_up
@@ -16,6 +18,8 @@
 
 # A shared read is two requests: below so many questions each of them asks by itself.
 FEWEST_SHARED = 3
+# Requests of a shared read that only follows: the revision, and the changes up to it.
+_SHARED_REQUESTS = 2
 # Outcomes of rounds that are kept for the questions that have not seen theirs yet.
 _OUTCOMES_KEPT = 64
 
@@ -35,7 +39,9 @@
     """Answers from memory whether a job is active, no older than the question.
 
     A question waits for the first round that begins behind it. Where many come, rounds begin no more often
-    than once in ``gather_s``. The thread of one of the questions carries the round out for all.
+    than once in ``gather_s``, and never faster than ``pace`` lets the state service be asked: the questions
+    of a storm wait for one another, while submissions and decisions go on. The thread of one of the questions
+    carries the round out for all.
     """
 
     def __init__(
@@ -45,9 +51,11 @@
         patience_s: float,
         fewest_shared: int = FEWEST_SHARED,
         clock: Callable[[], float] = time.monotonic,
+        pace: Pace | None = None,
     ) -> None:
         self._store, self._gather_s, self._patience_s = store, gather_s, patience_s
         self._fewest_shared, self._clock = fewest_shared, clock
+        self._pace = pace or Pace(math.inf, burst=0)
         self._view = JobView()
         self._rounds = Rounds()
         self._outcomes: Recent[Outcome] = Recent(_OUTCOMES_KEPT)
@@ -82,9 +90,10 @@
             while (outcome := self._outcomes.get(str(number))) is None:
                 if now >= give_up_at:
                     raise RefusedError("no answer in time")
+                # Other rounds may have been begun, and paid for, since this question came.
+                begin_at = max(begin_at, self._pace.ready_at())
                 if not self._rounds.running and now >= begin_at:
-                    begun = self._rounds.begin()
-                    self._next_at = now + self._gather_s
+                    begun = self._begin_round(now)
                     break
                 wake_at = give_up_at if self._rounds.running else min(give_up_at, begin_at)
                 self._changed.wait(wake_at - now)
@@ -99,6 +108,13 @@
         many = len(self._arrivals) == self._fewest_shared and now - self._arrivals[0] < self._gather_s
         return self._next_at if many else now
 
+    def _begin_round(self, now: float) -> Round:
+        """Begin a round, and spend the requests that it most likely takes."""
+        begun = self._rounds.begin()
+        self._next_at = now + self._gather_s
+        self._pace.spend(min(begun.questions, _SHARED_REQUESTS), now)
+        return begun
+
     def _play(self, begun: Round) -> Outcome:
         """Carry a round out, and tell all that wait for it."""
         outcome = Outcome.FAILED
