Failures are judged by success: jobs with a mistake, machines at fault; guests have no guarantee

Need: two one-task jobs with a mistake that began on one machine cost it, with all that ran there; a wide job with a mistake was started whole every 30 s; one whose machine was at fault waited up to 30 s and got no machine any more; cpu-only work of a team without any guarantee counted as guaranteed and stopped critical replicas of others. Change: execution.failures keeps what is held against a job and what shows that it is sound. A suspected job starts one task at a time; one that fails on three machines books nothing, preempts nothing, rents nothing, and a next leader knows (a field more in its plan's record). Machines that may be at fault are used last. The stand-ins fail tasks a second behind their start, as faults do. Six scenarios, seven guards; all but faulty_machine_among_mistakes failed before.

--- a/src/poppyhold/durable/records.py
+++ b/src/poppyhold/durable/records.py
@@ -33,6 +33,8 @@
     """That tasks of a job may start: counts per slot and zone. With no slots, on spare room alone."""
 
     slots: dict[str, dict[str, int]] = msgspec.field(name="s")
+    # The job fails on every machine, as far as one can tell.
+    at_fault: bool = msgspec.field(name="x", default=False)
 
 
 class CompletionsRecord(msgspec.Struct, frozen=True):
--- a/src/poppyhold/execution/attempts.py
+++ b/src/poppyhold/execution/attempts.py
@@ -10,6 +10,7 @@
 from poppyhold.durable.records import MachineRecord
 from poppyhold.durable.store import MACHINE, put
 from poppyhold.execution.direct_commands import DirectCommands
+from poppyhold.execution.failures import Failures
 from poppyhold.execution.gangs import Gangs
 from poppyhold.model.context import REFUSED, UNSENT, UNSURE, CommitRank, Context
 from poppyhold.model.fleet import DONE, Attempt, Job, Machine
@@ -37,10 +38,12 @@
         on_done: Callable[[Job, int], None],
         on_over: Callable[[Attempt], None],
         on_ran: Callable[[Attempt, float], None],
+        failures: Failures,
     ) -> None:
         self._ctx = ctx
         self._on_done, self._on_over, self._on_ran = on_done, on_over, on_ran
         self.gangs = Gangs(ctx, self.stop)
+        self.failures = failures
         # Machines that may hold tasks of terms before ours and have not been heard in it.
         self.unheard: set[str] = set()
         self._unheard_told = False
@@ -241,8 +244,10 @@
         ours = attempt is not None and attempt.number == task.attempt
         if task.cause == ExitCause.DONE:
             machine.touch_image(job.spec.image, job.spec.image_gb)
-            if ours and attempt is not None and attempt.running_at is not None:
-                self._on_ran(attempt, now)
+            if ours and attempt is not None:
+                self.failures.completed(attempt)
+                if attempt.running_at is not None:
+                    self._on_ran(attempt, now)
             news = job.complete(index)
             if news:
                 job.unsaved.update(range(job.spec.tasks) if job.gang else (index,))
@@ -260,12 +265,7 @@
         job, machine = attempt.job, attempt.machine
         log.debug("%s on %s ended: %s", attempt.name, machine.name, task.cause)
         if task.cause == ExitCause.ERROR:
-            machine.errors.add(job.id)
-            job.failures += 1
-            job.failed_on.add(machine.name)
-            # A job with a mistake in it fails everywhere: it comes back ever more slowly.
-            pause = self._ctx.times.report_s * 2 ** min(job.failures, 8)
-            job.retry_at = now + min(pause, self._ctx.times.cancel_s)
+            self.failures.failed(attempt, now)
         elif task.cause in (ExitCause.NO_ROOM, ExitCause.BUSY):
             machine.refused_until = now + 2 * self._ctx.times.report_s
         elif task.cause == ExitCause.UNKNOWN_TASK:
--- /dev/null
+++ b/src/poppyhold/execution/failures.py
@@ -0,0 +1,121 @@
+"""Tasks that fail: whether the job is at fault, which fails everywhere, or the machine, which fails them all.
+
+A job at fault is started ever more seldom, one task at a time, until its user cancels it. A machine at fault
+is returned. What tells them apart is success: a task that completed, or that has run for much longer
+elsewhere than the failed ones ran, shows that its job is sound, and a completed one that its machine is.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from poppyhold.model.context import Times
+from poppyhold.model.fleet import Attempt, Job, Machine, TaskError
+
+log = logging.getLogger(__name__)
+
+# A job that fails on more machines than this without any success is taken to be at fault.
+_FEW_MACHINES = 2
+# Sound jobs that fail on a machine before it is taken to be at fault: one may have met something else.
+_FEWEST_JOBS = 2
+# The same where nothing tells whether the jobs are sound.
+_FEWEST_UNPROVEN_JOBS = 3
+# A task that runs so many times as long as the failed ones did shows that its job is sound.
+_OUTLASTS = 2
+# The pause behind a failure doubles up to so many times.
+_MOST_DOUBLINGS = 8
+
+
+class Failures:
+    """Judges failed tasks. What it knows of a job is kept with the job, so that it goes with it."""
+
+    def __init__(self, times: Times, clock: Callable[[], float], on_changed: Callable[[Job], None]) -> None:
+        """``on_changed`` is called when a job is found to be at fault, or sound after all."""
+        self._times, self._clock, self._on_changed = times, clock, on_changed
+        # Jobs whose tasks have failed and have not been shown to be sound since.
+        self._suspected: dict[str, Job] = {}
+
+    def failed(self, attempt: Attempt, now: float) -> None:
+        """A task ended with an error."""
+        job, machine = attempt.job, attempt.machine
+        machine.errors[job.id] = TaskError(job, now)
+        job.failed_on.add(machine.name)
+        record = job.failures
+        if attempt.running_at is not None:
+            record.lasted_s = max(record.lasted_s, now - attempt.running_at)
+        record.machines.add(machine.name)
+        if attempt.sent_at > record.last_at:
+            # Tasks that were started together count once: a wide array is no worse than a narrow one.
+            record.rounds += 1
+        record.last_at = now
+        # A sound job goes on at once: its task only has to avoid the machine.
+        doublings = 0 if job.done else min(record.rounds, _MOST_DOUBLINGS)
+        job.retry_at = now + min(self._times.report_s * 2**doublings, self._times.cancel_s)
+        self._suspected[job.id] = job
+        if not record.at_fault and self._fails_everywhere(job):
+            log.info("%s fails on every machine: %d so far", job.id, len(record.machines))
+            record.at_fault = True
+            self._on_changed(job)
+
+    @staticmethod
+    def _fails_everywhere(job: Job) -> bool:
+        return not job.done and len(job.failures.machines) > _FEW_MACHINES
+
+    def load(self, job: Job) -> None:
+        """Take over what an earlier leader found of a job."""
+        if job.failures.at_fault:
+            job.failures.rounds = _MOST_DOUBLINGS
+            self._suspected[job.id] = job
+
+    def completed(self, attempt: Attempt) -> None:
+        """A task completed: its job is sound, and its machine if the task began behind the last error."""
+        errors = attempt.machine.errors
+        if errors and attempt.sent_at > max(error.at for error in errors.values()):
+            errors.clear()
+        if attempt.job.id in self._suspected:
+            self._is_sound(attempt.job)
+
+    def tick(self) -> None:
+        """Look for jobs whose tasks run on where others failed."""
+        now = self._clock()
+        for job in list(self._suspected.values()):
+            if job.over:
+                del self._suspected[job.id]
+            elif any(self._outlasts(attempt, now) for attempt in job.active.values()):
+                self._is_sound(job)
+
+    def _outlasts(self, attempt: Attempt, now: float) -> bool:
+        record = attempt.job.failures
+        if attempt.running_at is None or attempt.machine.name in record.machines:
+            return False
+        return now - attempt.running_at > _OUTLASTS * (record.lasted_s + self._times.report_s)
+
+    def _is_sound(self, job: Job) -> None:
+        """Take back what is held against a job. The time its tasks lasted stays: it may have been chance."""
+        del self._suspected[job.id]
+        record = job.failures
+        record.sound_at = self._clock()
+        record.rounds = 0
+        record.machines.clear()
+        job.retry_at = 0.0
+        if record.at_fault:
+            record.at_fault = False
+            self._on_changed(job)
+
+    def machine_at_fault(self, machine: Machine) -> bool:
+        """Whether different jobs fail on it that are sound elsewhere.
+
+        Two jobs with a mistake that begin on the same machine must not cost it, nor two of them the fleet.
+        """
+        sound = unproven = 0
+        settled_at = self._clock() - self._times.cancel_s
+        for error in machine.errors.values():
+            sound += error.job_is_sound
+            unproven += error.may_be_the_machine and error.at < settled_at
+        return sound >= _FEWEST_JOBS or sound + unproven >= _FEWEST_UNPROVEN_JOBS
+
+    def suspects(self, machine: Machine) -> bool:
+        """Whether a machine had better be used last, until it is clear who is at fault."""
+        recent = self._clock() - self._times.cancel_s
+        return any(error.may_be_the_machine and error.at > recent for error in machine.errors.values())
--- a/src/poppyhold/machines/hiring.py
+++ b/src/poppyhold/machines/hiring.py
@@ -22,8 +22,6 @@
 
 log = logging.getLogger(__name__)
 
-# A job that failed so often is most likely at fault itself: no machine is rented for it.
-_HOPELESS_FAILURES = 4
 # A boot takes up to so many times the usual, as PROTOCOL says; what takes longer may take several times as
 # long, and is not waited for.
 _LATE_BOOTS = 1.5
@@ -135,8 +133,9 @@
             return most
 
         for job in sorted(ctx.fleet.jobs.values(), key=lambda job: (job.rank, job.at)):
-            if job.pending > 0 and not job.over and job.failures < _HOPELESS_FAILURES:
-                most = within_limit(job.spec.team, job.need, job.pending)
+            # For a job that is at fault itself no machine is rented.
+            if job.pending > 0 and not job.over and not job.failures.at_fault:
+                most = within_limit(job.spec.team, job.need, job.startable(job.pending))
                 if most and (not job.gang or most == job.pending):
                     demands.append(demand_of(job, most))
         boots = [machine_type.boot_s for machine_type in ctx.machine_types.values()]
--- a/src/poppyhold/machines/machine_monitor.py
+++ b/src/poppyhold/machines/machine_monitor.py
@@ -12,8 +12,6 @@
 from poppyhold.model.context import Context
 from poppyhold.model.fleet import Machine
 
-# A job that fails on no more machines than this may be sound.
-_FEW_MACHINES = 2
 # Machines of one zone that must all be silent to take the zone for cut off; fewer may have died together.
 _FEWEST_OF_A_ZONE = 3
 # Silence of such a zone behind which its machines are given up, as a multiple of `cancel_s`.
@@ -107,7 +105,7 @@
                 survey.silent.append(machine)
         if quiet_s > times.lease_s:
             self._attempts.expire(machine, now)
-        if len(machine.errors) > 1 and self._at_fault(machine):
+        if machine.errors and self._attempts.failures.machine_at_fault(machine):
             machine.leaving = True
 
     def _judge_silence(self, survey: Survey, now: float) -> None:
@@ -164,11 +162,3 @@
 
         passed_on = self._ctx.edges.passed_on()
         return max((sum(newer(*passed) for passed in there) for there in passed_on), default=0)
-
-    def _at_fault(self, machine: Machine) -> bool:
-        """Whether different jobs fail on it that do not fail elsewhere as well.
-
-        A job with a mistake in it fails on every machine: two of those must not cost the whole fleet.
-        """
-        jobs = [self._ctx.fleet.jobs.get(job_id) for job_id in machine.errors]
-        return sum(1 for job in jobs if job is not None and len(job.failed_on) <= _FEW_MACHINES) > 1
--- a/src/poppyhold/model/fleet.py
+++ b/src/poppyhold/model/fleet.py
@@ -71,6 +71,21 @@
         return task_name(self.job.id, self.index)
 
 
+class JobFailures(msgspec.Struct, eq=False):
+    """What is held against a job whose tasks end with errors; see `execution.failures`."""
+
+    # Times that tasks failed, those that were started together counted once, and machines that they failed
+    # on, since the job was shown to be sound.
+    rounds: int = 0
+    machines: set[str] = msgspec.field(default_factory=set)
+    last_at: float = float("-inf")
+    # The longest that a failed task ran.
+    lasted_s: float = 0.0
+    # It fails on every machine, as far as one can tell; and when it was last shown to be sound.
+    at_fault: bool = False
+    sound_at: float = float("-inf")
+
+
 class Job(msgspec.Struct, eq=False):
     """An accepted job that is not over."""
 
@@ -106,7 +121,8 @@
     saving: bool = False
     # Keys of the records that hold its completed tasks.
     done_records: set[str] = msgspec.field(default_factory=set)
-    failures: int = 0
+    failures: JobFailures = msgspec.field(default_factory=JobFailures)
+    # Machines that its tasks had better avoid.
     failed_on: set[str] = msgspec.field(default_factory=set)
     retry_at: float = 0.0
     # Before this moment it preempts nothing more: gangs that make room for it are saving.
@@ -157,6 +173,17 @@
             self.next_index += 1
         return self.next_index if self.next_index < self.spec.tasks else None
 
+    def startable(self, most: int) -> int:
+        """How many of up to ``most`` tasks may be started now: one at a time behind a failure.
+
+        Tasks that were started before it, and go on, may still show that the job is sound.
+        """
+        record = self.failures
+        if not record.rounds or self.done or self.gang:
+            return most
+        probes = sum(attempt.sent_at >= record.last_at for attempt in self.active.values())
+        return min(most, max(0, 1 - probes))
+
     def complete(self, index: int) -> bool:
         """Note that a task is completed; True if that is news. The tasks of a gang complete together."""
         if not 0 <= index < self.spec.tasks or self.states[index] == DONE:
@@ -175,6 +202,23 @@
         heapq.heappush(self.returned, index)
 
 
+class TaskError(msgspec.Struct, frozen=True, eq=False):
+    """A task of a job ended with an error on a machine."""
+
+    job: Job
+    at: float
+
+    @property
+    def job_is_sound(self) -> bool:
+        """Whether the job has run elsewhere, so that the error was the machine's."""
+        return self.job.done > 0 or self.job.failures.sound_at > self.at
+
+    @property
+    def may_be_the_machine(self) -> bool:
+        """Whether the machine may be at fault. Of a job that ended without success nobody can tell."""
+        return self.job_is_sound or not (self.job.over or self.job.failures.at_fault)
+
+
 # Machines in the order in which they became known.
 _numbers = itertools.count()
 
@@ -225,7 +269,8 @@
     images: OrderedDict[str, float] = msgspec.field(default_factory=OrderedDict)
     # Commands to be sent to the worker directly.
     direct: list[Command] = msgspec.field(default_factory=list)
-    errors: set[str] = msgspec.field(default_factory=set)
+    # Errors on it by job, since a task that was started behind them completed.
+    errors: dict[str, TaskError] = msgspec.field(default_factory=dict)
     # Tasks on it that are none of ours: they are stopped, and nothing starts beside them.
     unknown_tasks: set[str] = msgspec.field(default_factory=set)
     refused_until: float = 0.0
--- a/src/poppyhold/node/controller.py
+++ b/src/poppyhold/node/controller.py
@@ -12,6 +12,7 @@
 from poppyhold.durable.store import ACTIVE, Data, Entry, final_writes
 from poppyhold.execution.attempts import Attempts
 from poppyhold.execution.completions import Completions
+from poppyhold.execution.failures import Failures
 from poppyhold.execution.gangs import GangState
 from poppyhold.machines.hiring import Hiring
 from poppyhold.model.context import CommitRank, Context, Edges, Hints, Times
@@ -60,7 +61,8 @@
         self.ctx.most_hastened = connections * options.relays.from_share
         self.ctx.quiet_pace = connections * _QUIET_SHARE
         self._quotas = Quotas(settings.settings.teams)
-        self.attempts = Attempts(self.ctx, self._task_done, self._attempt_over, self._task_ran)
+        self.failures = Failures(times, clock, self._judged)
+        self.attempts = Attempts(self.ctx, self._task_done, self._attempt_over, self._task_ran, self.failures)
         self.admission = Admission(self.ctx, lambda job: self.job_removed(ACTIVE + job.id))
         self.dispatcher = Dispatcher(self.ctx, self.attempts, self._quotas, self.admission)
         self.hiring = Hiring(self.ctx, self.attempts, self._quotas, self._machine_gone)
@@ -95,6 +97,7 @@
             job = self._add_job(entry)
             if job is not None and job.id in snapshot.plans:
                 self.admission.load(job, snapshot.plans[job.id])
+                self.failures.load(job)
         for prefix, records in snapshot.done.items():
             self.completions.load(prefix, records)
         for job in sorted(ctx.fleet.jobs.values(), key=lambda job: job.at):
@@ -186,6 +189,7 @@
         """What time alone brings about."""
         now = self.ctx.clock()
         self.admission.roll()
+        self.failures.tick()
         self.hiring.watch()
         self._drain(now)
         self.attempts.commands.raise_token()
@@ -258,6 +262,9 @@
         if job.over and not job.active:
             self.ctx.fleet.jobs.pop(job.id, None)
 
+    def _judged(self, job: Job) -> None:
+        self.admission.judged(job)
+
     def _task_ran(self, attempt: Attempt, now: float) -> None:
         # Only whole runs tell how long a task takes.
         if attempt.via != "seen" and attempt.running_at is not None:
--- a/src/poppyhold/scale/standins.py
+++ b/src/poppyhold/scale/standins.py
@@ -19,6 +19,8 @@
 
 
 _LARGEST_PAGE, _CHANGES_KEPT = 1000, 10_000
+# What fails, fails so long behind its start.
+_FAILS_AFTER_S = 1.0
 
 
 class StateStandIn:
@@ -225,20 +227,11 @@
                 continue
             changed = True
             if chore["status"] == "pulling":
-                job = chore["job"]
-                self.images.add(job["bundle"])
-                if self.faulty or job.get("mistake"):
-                    chore.update(status="ended", cause="error", until=None)
-                    continue
-                if job["shape"] == "group":
-                    # The rest is played by `gang_standin`, but for the end of its patience.
-                    chore.update(status="waiting", until=now + self._gang_wait_s)
-                else:
-                    chore["status"] = "running"
-                    chore["until"] = None if job["shape"] == "service" else now + job["runs"]
-                self._on_start(self, name)
+                self._fetched(name, chore, now)
             elif chore["status"] == "waiting":
                 chore.update(status="ended", cause="alone", until=None)
+            elif chore["status"] == "running" and chore.get("fails"):
+                chore.update(status="ended", cause="error", until=None)
             elif chore["status"] == "running":
                 chore.update(status="ended", cause="done", until=None)
                 self._on_done(name)
@@ -246,6 +239,24 @@
                 chore.update(status="ended", cause="stopped", until=None)
         return changed
 
+    def _fetched(self, name: str, chore: Data, now: float) -> None:
+        """A task has its image."""
+        job = chore["job"]
+        self.images.add(job["bundle"])
+        fails = self.faulty or job.get("mistake")
+        if fails and job["shape"] == "group":
+            chore.update(status="ended", cause="error", until=None)
+            return
+        if job["shape"] == "group":
+            # The rest is played by `gang_standin`, but for the end of its patience.
+            chore.update(status="waiting", until=now + self._gang_wait_s)
+        else:
+            chore["status"] = "running"
+            chore["until"] = None if job["shape"] == "service" else now + job["runs"]
+        if fails:
+            chore.update(until=now + _FAILS_AFTER_S, fails=True)
+        self._on_start(self, name)
+
     def answered(self, body: Data, sent_at: float, shift: int) -> None:
         """The answer to a report came."""
         if shift != self.session or body.get("baton", 0) < self.token:
--- a/src/poppyhold/scheduling/admission.py
+++ b/src/poppyhold/scheduling/admission.py
@@ -93,6 +93,17 @@
         job.booked = {}
         self._released = True
 
+    def judged(self, job: Job) -> None:
+        """A job was found to be at fault, or sound after all: keep that for the next leader.
+
+        One at fault gives up the room that it has booked, and starts on room that nobody else wants.
+        """
+        if job.failures.at_fault:
+            self.forget(job)
+            job.admitted, job.plan = False, {}
+        if not job.over:
+            self._write(job)
+
     def _book_plan(self, job: Job, name: str, slot: int, number: int) -> None:
         if job.service:
             self.ledger.book(name, job.need, slot, None, number)
@@ -187,7 +198,7 @@
         """
         slots = sorted(job.plan)
         while True:
-            record = PlanRecord({str(slot): job.plan[slot] for slot in slots})
+            record = PlanRecord({str(slot): job.plan[slot] for slot in slots}, job.failures.at_fault)
             data: Data = msgspec.to_builtins(record)
             if not slots or stored_bytes(data) <= self._largest_record:
                 return data
@@ -200,6 +211,7 @@
         record = convert(data, PlanRecord)
         job.plan = {int(slot): zones for slot, zones in record.slots.items()}
         job.admitted = bool(job.plan)
+        job.failures.at_fault = record.at_fault
 
     def cap(self, job: Job) -> int:
         """How many more tasks the plan lets start by now; a plan never stops what runs."""
--- a/src/poppyhold/scheduling/dispatch.py
+++ b/src/poppyhold/scheduling/dispatch.py
@@ -108,7 +108,8 @@
         # An older job's tasks may run on a machine that has not been heard yet.
         ready = [job for job in jobs if job.plan_durable and (job.fresh or all_heard)]
         ready.sort(key=lambda job: self._urgency(job, now))
-        self._admission.reconsider([job for job in ready if not job.admitted], now)
+        waiting = [job for job in ready if not (job.admitted or job.failures.at_fault)]
+        self._admission.reconsider(waiting, now)
         if not ready:
             return
         machines = [
@@ -116,8 +117,11 @@
         ]
         if not machines:
             return
-        # Machines that did not get our commands lately come last.
-        steady = [machine for machine in machines if machine.unreliable_until <= now]
+        # Machines that did not get our commands lately, or may be at fault, come last.
+        suspects = self._attempts.failures.suspects
+        steady = [
+            machine for machine in machines if machine.unreliable_until <= now and not suspects(machine)
+        ]
         self._pass = Pass(machines, steady, self._unknown_use())
         self.placement.begin(machines, [job for job in ctx.fleet.jobs.values() if job.active])
         self._gang_placement.begin(ctx.fleet.jobs.values())
@@ -248,6 +252,7 @@
         if job.spec.team in here.held_teams:
             return
         searches: list[Search] = []
+        most = job.startable(most)
         while most > 0:
             index = job.next_pending()
             if index is None:
@@ -294,7 +299,7 @@
     def _choose(self, job: Job, search: Search, reserved: dict[str, Room]) -> Choice | None:
         """The best machine with room; else, or where its image would come too late, one that makes room."""
         choice = search.best()
-        if self._ctx.clock() < job.preempts_again_at:
+        if self._ctx.clock() < job.preempts_again_at or job.failures.at_fault:
             return choice
         if choice is None:
             return search.preempt()
@@ -318,6 +323,8 @@
 
     def _within_limit(self, job: Job, in_use: tuple[float, float]) -> Choice | None:
         """At its team's limit, a job may still take the room of lower work of the team."""
+        if job.failures.at_fault:
+            return None
         for other in self._ctx.fleet.jobs.values():
             if other.spec.team == job.spec.team and any(
                 attempt.stopping_at is not None for attempt in other.active.values()
@@ -353,7 +360,7 @@
                     self._rooms.changed(choice.machine)
         elif gangs.state_of(job) is GangState.ASSEMBLING:
             gangs.give_up(job, "no room for a replacement", self._ctx.clock())
-        elif self._waited_long(job, self._ctx.clock()):
+        elif self._waited_long(job, self._ctx.clock()) and not job.failures.at_fault:
             self._hold_for_gang(job, within_limit)
 
     def _gang_choices(self, job: Job, reserved: dict[str, Room]) -> list[Choice] | None:
@@ -367,6 +374,8 @@
             chosen = self._gang_placement.choose(job, here.machines, reserved)
         if chosen is not None:
             return [Choice(machine) for machine in chosen]
+        if job.failures.at_fault:
+            return None
         return self._gang_placement.make_room(job, here.steady, reserved)
 
     def _gang_within_limit(self, job: Job) -> bool:
--- a/src/poppyhold/scheduling/placement.py
+++ b/src/poppyhold/scheduling/placement.py
@@ -77,7 +77,8 @@
     def within_guarantee(self, team: str, cpus: float, gpus: float) -> bool:
         """Whether an amount fits into what the team is guaranteed."""
         limits = self._teams.get(team)
-        if limits is None:
+        # Guests have none at all. One for accelerators alone covers work that needs none of them.
+        if limits is None or not (limits.gpus > 0 or limits.cpus > 0):
             return False
         return (
             (gpus > 0 or cpus > 0)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -26,6 +26,8 @@
         limit = float(head.get("limit", 0))
         guaranteed = float(head.get("guaranteed", 8))
         teams = [Team("alpha", gpus=guaranteed, gpus_max=limit), Team("beta", gpus=8, gpus_max=0)]
+        # Teams without a guarantee or a limit.
+        teams += [Team(name) for name in head.get("guests", "").split(",") if name]
         self.world = World(
             seed,
             float(head.get("lease_s", 10)),
@@ -284,6 +286,12 @@
         elif what == "starts":
             most = max((n for t, n in world.starts.items() if t.startswith(words[0] + "/")), default=0)
             self._expect(most <= int(words[1]), f"a task of {words[0]} started {most} times")
+        elif what == "tries":
+            # Starts of all tasks of a job together.
+            tries = sum(n for t, n in world.starts.items() if t.startswith(words[0] + "/"))
+            self._expect(tries <= int(words[1]), f"tasks of {words[0]} started {tries} times")
+        elif what == "gone":
+            self._expect(words[0] not in world.workers, f"{words[0]} is still there")
         elif what == "machines":
             number = len(world.workers)
             self._expect(int(words[0]) <= number <= int(words[1]), f"{number} machines")
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -12,6 +12,7 @@
 from poppyhold.cluster.lease_proxy import LeaseProxies, LeaseProxy
 from poppyhold.execution.attempts import Attempts
 from poppyhold.execution.direct_commands import DirectCommands
+from poppyhold.execution.failures import Failures
 from poppyhold.execution.gangs import Gangs, GangState
 from poppyhold.machines.hires import Hires
 from poppyhold.machines.machine_monitor import MachineMonitor, Survey
@@ -146,6 +147,31 @@
 ]
 
 
+def _two_errors(self: Failures, machine: Machine) -> bool:
+    """Any two jobs that fail on a machine are enough."""
+    return len(machine.errors) > 1
+
+
+def _guests_alone(self: Quotas, team: str, cpus: float, gpus: float) -> bool:
+    return team == "gamma"
+
+
+def _all_at_once(self: Job, most: int) -> int:
+    return most
+
+
+# Jobs with a mistake, machines at fault, and guests.
+GUARDS += [
+    ("mistakes_on_one_machine", Failures, "machine_at_fault", _two_errors),
+    ("mistake_in_a_wide_job", Job, "startable", _all_at_once),
+    ("mistake_in_a_wide_job", Failures, "load", _never),
+    ("gang_with_a_mistake", Failures, "_fails_everywhere", _never),
+    ("faulty_machine_among_mistakes", Failures, "machine_at_fault", _never),
+    ("sound_job_on_a_faulty_machine", Failures, "_is_sound", _never),
+    ("guests", Quotas, "within_guarantee", _guests_alone),
+]
+
+
 # The same for relays.
 GUARDS += [
     ("relay_batches_twice_and_late", Attempts, "_is_newer", _always),
