Workers that left a leader wait for the next one instead of being sent back

Change: a controller keeps such a worker for up to a fifth of a lease until the leader's key changes (cluster.departures); one with an older token is sent on at once, as before. The virtual world can drop what workers send, and scenario leader_drops_workers loses ten leases without the guard.

--- a/src/poppyhold/cluster/election.py
+++ b/src/poppyhold/cluster/election.py
@@ -147,6 +147,12 @@
                 self._named.wait(timeout)
             return self.leader
 
+    def await_next(self, leader: Leader, timeout: float) -> Leader | None:
+        """Wait a moment for another leader than this one; the leader as it is then."""
+        with self._named:
+            self._named.wait_for(lambda: self.leader not in (None, leader) or self._stopped, timeout)
+            return self.leader
+
     def _name(self, leader: Leader | None) -> None:
         with self._named:
             if leader is None and self.leader is not None:
--- a/src/poppyhold/node/service.py
+++ b/src/poppyhold/node/service.py
@@ -9,6 +9,7 @@
 import time
 
 from poppyhold.cluster.cancellations import Cancellation
+from poppyhold.cluster.departures import Departures
 from poppyhold.cluster.election import Election, Leader, Term
 from poppyhold.cluster.lease_proxy import LeaseProxies, LeaseProxy
 from poppyhold.cluster.peers import Peers, Ping, Pong
@@ -89,6 +90,7 @@
         # A worker that is not told where to go tries another node a second later. Where all nodes have just
         # come back, that second decides whether leases end; an election takes far less.
         self._naming_s = workers.report_s / 2
+        self._departures = Departures(workers.lease_s)
         self._ready_s = workers.lease_s * 0.35
         self.server = Server(
             split_address(settings.client_listen),
@@ -388,6 +390,10 @@
     def _redirect(self, report: Report) -> Answer | Deferred:
         """Wait a moment for a leader, and send the worker there."""
         leader = self.election.await_leader(self._naming_s)
+        if leader is not None and leader.member != self.settings.member and not self._forwarding.is_wanted():
+            wait_s = self._departures.wait_s(report, leader.token)
+            if wait_s:
+                leader = self.election.await_next(leader, wait_s)
         # The election may have named us meanwhile.
         return self._answer_report(report) or self._elsewhere(leader)
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -127,10 +127,12 @@
             self._for_a_while(node, "refused", seconds)
             self._for_a_while(node, "cut_peers", seconds)
 
-    def do_unreach(self, which: str, word: str, seconds: str) -> None:
-        """The node loses the workers."""
+    def do_unreach(self, which: str, word: str, seconds: str, how: str = "refused") -> None:
+        """The node loses the workers: they are refused, or what they send is dropped."""
         for node in self._nodes(which):
             self._for_a_while(node, "cut_workers", seconds)
+            if how == "dropped":
+                self._for_a_while(node, "drops_workers", seconds)
 
     def do_freeze(self, which: str, word: str, seconds: str) -> None:
         """The node stands still while its clocks run on."""
--- a/tests/sim_node.py
+++ b/tests/sim_node.py
@@ -10,6 +10,7 @@
 
 from poppyhold.cluster.authority import Authority
 from poppyhold.cluster.connectivity import Connectivity
+from poppyhold.cluster.departures import Departures
 from poppyhold.cluster.lease_proxy import LeaseProxies, LeaseProxy, Trust
 from poppyhold.durable.committer import Writer
 from poppyhold.durable.snapshot import SnapshotReader
@@ -362,6 +363,8 @@
         self.alive = True
         self.refused = False
         self.cut_workers = False
+        # The same, and what workers send is dropped instead of refused.
+        self.drops_workers = False
         self.cut_peers = False
         # It stands still while its clocks run on.
         self.frozen = False
@@ -383,6 +386,7 @@
         self.first_revision = -1
         self.passed_on: dict[str, tuple[float, Passed]] = {}
         self.lease_proxy = LeaseProxy(self.times, 0.0, lambda: self.world.now, lambda: self.world.now)
+        self._departures = Departures(self.settings.settings.workers.lease_s)
         self.connectivity = Connectivity(self.member, self.times.report_s, lambda: self.world.now)
         builds = {b["name"]: convert(b, MachineType) for b in self.world.cloud.machine_types}
         # Each question is a shared read by itself: the view is what users are answered from.
@@ -455,8 +459,30 @@
 
     def receive_report(self, body: Data, respond: Callable[[int, Data], None]) -> None:
         """POST /hello, relayed to the leader where reports are relayed."""
+        wait_s = self.departure_wait_s(body)
         if self.relays_reports():
             self.relay.take(body, respond)
+            return
+        status, answer = self.handle_report(body)
+        if wait_s and status == 421:
+            self._await_next_leader(body, respond, self.lowest_token(), self.world.now + wait_s)
+        else:
+            respond(status, answer)
+
+    def departure_wait_s(self, body: Data) -> float:
+        """How long a worker waits here that has left a leader which still leads."""
+        leader = self.world.leader()
+        if self.relays_reports() or leader in (None, self) or not self.has_state():
+            return 0.0
+        return self._departures.wait_s(parse_report(body), self.lowest_token())
+
+    def _await_next_leader(
+        self, body: Data, respond: Callable[[int, Data], None], token: int, until: float
+    ) -> None:
+        if not self.alive:
+            return
+        if self.frozen or (self.lowest_token() == token and self.world.now < until):
+            self.world.after(STEP_S, lambda: self._await_next_leader(body, respond, token, until))
         else:
             respond(*self.handle_report(body))
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -9,6 +9,7 @@
 from poppyhold.cluster.authority import Authority
 from poppyhold.cluster.cancellations import Cancellations
 from poppyhold.cluster.connectivity import Connectivity
+from poppyhold.cluster.departures import Departures
 from poppyhold.cluster.lease_proxy import LeaseProxies, LeaseProxy
 from poppyhold.execution.attempts import Attempts
 from poppyhold.execution.direct_commands import DirectCommands
@@ -49,6 +50,10 @@
     return 99
 
 
+def _no_time(*_: object) -> float:
+    return 0.0
+
+
 def _no_zones(*_: object) -> set[str]:
     return set()
 
@@ -172,6 +177,9 @@
 ]
 
 
+# Workers that a leader's cut sends to other controllers.
+GUARDS += [("leader_drops_workers", Departures, "wait_s", _no_time)]
+
 # The same for relays.
 GUARDS += [
     ("relay_batches_twice_and_late", Attempts, "_is_newer", _always),
--- a/tests/world.py
+++ b/tests/world.py
@@ -257,12 +257,13 @@
         worker.busy_until = self.now + max(0.5, 2 * self.link_s)
         node = self.nodes[worker.node]
         body, flight = worker.report(), InFlight(node, self.now, worker.session)
-        if not node.alive or node.cut_workers or "silent" in how:
+        refuses = node.cut_workers and not node.drops_workers
+        if not node.alive or refuses or "silent" in how:
             worker.node = (worker.node + 1) % 3
             worker.busy_until = self.now + 1.0
             return
 
-        if node.frozen or self.severed(node.zone, worker.zone):
+        if node.frozen or node.drops_workers or self.severed(node.zone, worker.zone):
             # No answer for four seconds, and a second to the next.
             worker.node = (worker.node + 1) % 3
             worker.busy_until = self.now + 5.0
@@ -280,6 +281,8 @@
             if node.relays_reports():
                 self.work["relayed"] += 1
                 worker.awaits = flight
+            elif node.departure_wait_s(body):
+                worker.awaits = flight
             node.receive_report(body, respond)
 
         def respond(status: int, answer: Data) -> None:
