Machines that boot slowly are told from few that are late

Need: with boots of five times the usual, each generation of late machines was replaced by the next, and all were given up just before they came up: 55 rented for a need of ten (scenario slow_boots). Change: machines.boots replaces late machines once, and their replacements only once something rented no sooner is up; where nothing is, machines are given up twice as late.

--- a/src/poppyhold/machines/hiring.py
+++ b/src/poppyhold/machines/hiring.py
@@ -8,6 +8,7 @@
 
 from poppyhold.durable.store import Data
 from poppyhold.execution.attempts import Attempts
+from poppyhold.machines.boots import Boots
 from poppyhold.machines.deletions import Deletions
 from poppyhold.machines.hires import Hires
 from poppyhold.machines.machine_list import MachineList
@@ -22,10 +23,6 @@
 
 log = logging.getLogger(__name__)
 
-# A boot takes up to so many times the usual, as PROTOCOL says; what takes longer may take several times as
-# long, and is not waited for.
-_LATE_BOOTS = 1.5
-
 
 class Hiring:
     """Rents and returns machines."""
@@ -37,9 +34,10 @@
         self._options = ctx.options.provisioning
         self._provisioning = Provisioning(self._options)
         self._hires = Hires(ctx, self._provisioning)
+        self._boots = Boots()
         self._deletions = Deletions(ctx, attempts, on_gone)
         self._machine_list = MachineList(ctx, self._deletions)
-        self._monitor = MachineMonitor(ctx, attempts, self._deletions, self._provisioning)
+        self._monitor = MachineMonitor(ctx, attempts, self._deletions, self._provisioning, self._boots)
         # The forecast looks back over a few leases, as far as the ratio of slots to leases says.
         self.arrivals = Arrivals(2 * ctx.times.slot_s)
         self._next_at = ctx.clock() + ctx.times.report_s * 2
@@ -107,10 +105,11 @@
     def _spaces(self, now: float) -> list[Space]:
         ctx = self._ctx
         spaces = []
-        for machine in ctx.fleet.machines.values():
-            late = not machine.up and now - machine.since > _LATE_BOOTS * machine.machine_type.boot_s
-            gone = machine.deleting or machine.leaving or machine.draining
-            if gone or machine.taken_back_at is not None or late:
+        held = [machine for machine in ctx.fleet.machines.values() if not machine.deleting]
+        late = self._boots.late(held, now)
+        for machine in held:
+            gone = machine.leaving or machine.draining or machine.name in late
+            if gone or machine.taken_back_at is not None:
                 continue
             if machine.up and now - machine.last_report > ctx.times.silent_s and machine.heard:
                 continue
--- a/src/poppyhold/machines/machine_monitor.py
+++ b/src/poppyhold/machines/machine_monitor.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from poppyhold.execution.attempts import Attempts
+from poppyhold.machines.boots import Boots
 from poppyhold.machines.deletions import Deletions
 from poppyhold.machines.provisioning import Provisioning
 from poppyhold.model.context import Context
@@ -42,9 +43,14 @@
     """Looks after the machines that should be heard."""
 
     def __init__(
-        self, ctx: Context, attempts: Attempts, deletions: Deletions, provisioning: Provisioning
+        self,
+        ctx: Context,
+        attempts: Attempts,
+        deletions: Deletions,
+        provisioning: Provisioning,
+        boots: Boots,
     ) -> None:
-        self._ctx, self._attempts = ctx, attempts
+        self._ctx, self._attempts, self._boots = ctx, attempts, boots
         self._deletions, self._provisioning = deletions, provisioning
         # When many machines were silent last.
         self._many_quiet_at = float("-inf")
@@ -60,7 +66,7 @@
                     self._attempts.expire(machine, now)
             elif machine.up or machine.name in self._attempts.unheard:
                 self._survey(machine, survey, now)
-            elif now - machine.since > self._provisioning.give_up_s(machine.machine_type):
+            elif self._boots.is_hopeless(machine, self._provisioning.give_up_s(machine.machine_type), now):
                 self._deletions.mark(machine, "never came up")
         self._judge_silence(survey, now)
         for machine in self._ctx.fleet.machines.values():
--- a/src/poppyhold/scale/standins.py
+++ b/src/poppyhold/scale/standins.py
@@ -386,7 +386,7 @@
         """Keep what a list will show a lag from now."""
         now = self._clock()
         boxes = [
-            {**{k: v for k, v in m.items() if k != "at"}, "heldS": now - m["at"]}
+            {**{k: v for k, v in m.items() if k not in ("at", "boot_s")}, "heldS": now - m["at"]}
             for m in self.machines.values()
         ]
         self._past.append((now, boxes))
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -231,6 +231,10 @@
     def do_boots_fail(self, number: str) -> None:
         self.world.cloud.failing = int(number)
 
+    def do_slow_boots(self, factor: str, word: str, seconds: str) -> None:
+        """Boots that begin meanwhile take that many times as long."""
+        self._for_a_while(self.world, "boot_factor", seconds, float(factor))
+
     def do_late_reports(self, share: str, word: str, seconds: str, when: str = "") -> None:
         """A copy of that share of reports comes again: 1 to 25 s late, or when the next leader begins."""
         self.world.keep_copies = when == "for_next"
@@ -292,6 +296,12 @@
             # Starts of all tasks of a job together.
             tries = sum(n for t, n in world.starts.items() if t.startswith(words[0] + "/"))
             self._expect(tries <= int(words[1]), f"tasks of {words[0]} started {tries} times")
+        elif what == "rented":
+            rented = sum(len(names) for names in world.cloud.hires.values())
+            self._expect(rented <= int(words[0]), f"{rented} machines were rented")
+        elif what == "held":
+            held = len(world.cloud.machines)
+            self._expect(int(words[0]) <= held <= int(words[1]), f"{held} machines are paid for")
         elif what == "gone":
             self._expect(words[0] not in world.workers, f"{words[0]} is still there")
         elif what == "machines":
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -15,6 +15,7 @@
 from poppyhold.execution.direct_commands import DirectCommands
 from poppyhold.execution.failures import Failures
 from poppyhold.execution.gangs import Gangs, GangState
+from poppyhold.machines.boots import Boots
 from poppyhold.machines.hires import Hires
 from poppyhold.machines.machine_monitor import MachineMonitor, Survey
 from poppyhold.model.fleet import DONE, NOTHING, Job, Machine, Room, how_many
@@ -177,6 +178,23 @@
 ]
 
 
+def _late_alone(self: Boots, machine: Machine, oldest: dict[str, float], now: float) -> bool:
+    """Each machine is late by itself, whatever others do."""
+    return now - machine.since > 1.5 * machine.machine_type.boot_s
+
+
+def _hopeless_alone(self: Boots, machine: Machine, give_up_s: float, now: float) -> bool:
+    """Each machine is given up by itself, whatever others do."""
+    return now - machine.since > give_up_s
+
+
+GUARDS += [
+    ("slow_boots", Boots, "_is_late", _late_alone),
+    ("slow_boots", Boots, "is_hopeless", _hopeless_alone),
+    ("boots_that_never_end", Boots, "_is_late", _never),
+    ("boots_that_never_end", Boots, "is_hopeless", _never),
+]
+
 # Workers that a leader's cut sends to other controllers.
 GUARDS += [("leader_drops_workers", Departures, "wait_s", _no_time)]
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -105,6 +105,8 @@
             self._completed,
         )
         self.lose_hires = 0
+        # What boots that begin now take, as a multiple of the usual; 0: the usual.
+        self.boot_factor = 0.0
         # Shares of transactions that get no answer: those carried out at once, and those carried out late.
         self.lost_answers = self.late_writes = 0.0
         # What messages between controllers and workers take beyond the usual, each way.
@@ -209,12 +211,16 @@
 
     def _boot_machines(self) -> None:
         for name, machine in list(self.cloud.machines.items()):
-            if machine["status"] == "starting" and self.now - machine["at"] >= 10.0:
-                if self.cloud.failing > 0:
-                    self.cloud.failing -= 1
-                    machine["at"] = float("inf")
-                else:
-                    self.add_worker(name)
+            if machine["status"] != "starting":
+                continue
+            boot_s = machine.setdefault("boot_s", 10.0 * (self.boot_factor or 1.0))
+            if self.now - machine["at"] < boot_s:
+                continue
+            if self.cloud.failing > 0:
+                self.cloud.failing -= 1
+                machine["boot_s"] = float("inf")
+            else:
+                self.add_worker(name)
 
     def end_worker(self, name: str) -> None:
         """A machine is gone with all that is on it."""
