--- a/tests/mix.py
+++ b/tests/mix.py
@@ -205,6 +205,62 @@
             yield at + rng.choice([0.0, rng.uniform(0.0, 30.0)]), f"cancel {job_id}"
 
 
+def _operations(rng: random.Random, zones: str) -> Iterator[tuple[float, str]]:
+    """What operators met: late boots, controllers that stand still or are cut off, storms of questions.
+
+    Beside them guests, a wide array, jobs with a mistake and a machine that fails every task.
+    """
+    at, long = rng.uniform(8.0, 60.0), rng.uniform(20.0, 70.0)
+    nodes = rng.choice(["leader", "leader", "others", "all", str(rng.randrange(3))])
+    soon = rng.uniform(2.5, 6.0)
+    yield at, f"poll_storm 8 for {long:.1f}"
+    yield from rng.choice(
+        [
+            [(at, f"freeze {nodes} for {long:.1f}")],
+            # The second one stands still in the middle of its election, or just behind it.
+            [
+                (at, "freeze leader for 20"),
+                (at + soon, "freeze leader for 8"),
+                (at + soon, "cancel_now 3 hang 6"),
+            ],
+            [
+                (at, "freeze leader for 12"),
+                (at + 1, "cancel_now 3 hang 0"),
+                (at + 2, "late_writes 0.5 for 10"),
+            ],
+            [(at, "boots_fail 3"), (at, f"slow_boots 4.0 for {long:.1f}"), (at + soon, "crash leader for 3")],
+            [(at, "lose_hires 2"), (at, f"freeze leader for {soon:.1f}"), (at, "slow_boots 0.1 for 30")],
+            [(at, f"unreach leader for {long:.1f} dropped"), (at + soon, "cancel_now 3 hang 6")],
+            [(at, f"unreach leader for {long:.1f}"), (at + soon, "crash others for 2")],
+            [(at, f"lose_peers {nodes} for {long:.1f}"), (at + soon, "freeze leader for 6")],
+            [(at, f"isolate leader for {long:.1f}"), (at + soon, "freeze leader for 9")],
+            [(at, f"refuse leader for {long:.1f}"), (at + soon, "cancel_now 3 hang 0")],
+            [(at, f"crash {nodes} for {min(long, 60.0):.1f}"), (at + soon, "freeze leader for 5")],
+        ]
+    )
+    for number in range(600, 600 + rng.randrange(1, 4)):
+        begin = rng.uniform(4.0, 90.0)
+        fields = rng.choice(
+            [
+                f"shape=array chores={rng.randrange(1, 9)} rank=high",
+                f"shape=service chores={rng.randrange(1, 4)} rank=standard",
+                f"shape=group chores={rng.randrange(2, 5)} rank=standard",
+            ]
+        )
+        yield begin, f"submit job-{number:06d} crew=beta mistake=true {fields}"
+        yield rng.uniform(begin, CALM_S), f"cancel job-{number:06d}"
+    if rng.random() < 0.5:
+        yield rng.uniform(3.0, 60.0), f"faulty vm-{rng.randrange(1, 5):06d}"
+    for number in range(700, 700 + rng.randrange(0, 20)):
+        guest = "crew=gamma rank=best_effort accelerators=0.0 cpus=1.0 sizeGb=0.1 guessS=8"
+        yield rng.uniform(4.0, 90.0), f"submit job-{number:06d} {guest} loaners=true"
+    if rng.random() < 0.5:
+        yield (
+            rng.uniform(4.0, 60.0),
+            "submit job-000800 crew=gamma rank=best_effort chores=150 guessS=1 sizeGb=0.1",
+        )
+
+
 def day(seed: int, zones: str = "ab", relays: str = "off") -> str:
     """A day as the text of a scenario, in zones that are named by a letter each.
 
@@ -214,7 +270,7 @@
     cancel_s = rng.choice([22, 22, 30, 45])
     lines = [
         f"world limit={rng.choice([8, 10, 14])} lease_s=10 cancel_s={cancel_s} zones={','.join(zones)} "
-        f"relays={relays}",
+        f"relays={relays} guests=gamma",
         *(f"machines small {zone} ordinary {rng.randrange(2, 4)}" for zone in zones),
     ]
     lines += [
@@ -222,7 +278,8 @@
         for zone in zones
         for kind, number in (("ordinary", 12), ("spot", 4))
     ]
-    lines += [f"at {at:.2f} {text}" for at, text in sorted(_events(rng, cancel_s, zones))]
+    events = [*_events(rng, cancel_s, zones), *_operations(rng, zones)]
+    lines += [f"at {at:.2f} {text}" for at, text in sorted(events)]
     return "\n".join([*lines, f"at {CALM_S + 10} calm", f"at {END_S} expect settled", ""])
 
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -201,7 +201,10 @@
             )
 
     def do_faulty(self, machine: str) -> None:
-        self.world.workers[machine].faulty = True
+        worker = self.world.workers.get(machine)
+        # A drawn day may name one that is gone by then.
+        if worker is not None:
+            worker.faulty = True
 
     def do_slow_fetch(self, machine: str, gb_per_s: str) -> None:
         worker = self.world.workers[machine]
@@ -235,6 +238,10 @@
         """Boots that begin meanwhile take that many times as long."""
         self._for_a_while(self.world, "boot_factor", seconds, float(factor))
 
+    def do_poll_storm(self, factor: str, word: str, seconds: str) -> None:
+        """Users ask that many times as often."""
+        self._for_a_while(self.world, "poll_factor", seconds, int(factor))
+
     def do_late_reports(self, share: str, word: str, seconds: str, when: str = "") -> None:
         """A copy of that share of reports comes again: 1 to 25 s late, or when the next leader begins."""
         self.world.keep_copies = when == "for_next"
@@ -276,61 +283,83 @@
             self.failures.append(f"at {self.world.now:.1f}: {text}")
 
     def do_expect(self, what: str, *words: str) -> None:
-        world = self.world
-        if what == "told":
-            self._expect(world.told.get(words[0]) == words[1], f"{words[0]} is {world.told.get(words[0])}")
-        elif what == "up":
-            up = {t for w in world.workers.values() for t in w.on_machine() if t.startswith(words[0] + "/")}
-            self._expect(len(up) == int(words[1]), f"{words[0]} has {len(up)} tasks up")
-        elif what == "attempts":
-            # Attempts of a gang that started whole, and the seconds of its work that were saved at least.
-            attempts = world.gangs.starts.get(words[0], 0)
-            self._expect(attempts == int(words[1]), f"{words[0]} started {attempts} times")
-        elif what == "saved":
-            saved = world.gangs.saved.get(words[0], 0.0)
-            self._expect(saved >= float(words[1]), f"{words[0]} has saved {saved:.1f} s")
-        elif what == "starts":
-            most = max((n for t, n in world.starts.items() if t.startswith(words[0] + "/")), default=0)
-            self._expect(most <= int(words[1]), f"a task of {words[0]} started {most} times")
-        elif what == "tries":
-            # Starts of all tasks of a job together.
-            tries = sum(n for t, n in world.starts.items() if t.startswith(words[0] + "/"))
-            self._expect(tries <= int(words[1]), f"tasks of {words[0]} started {tries} times")
-        elif what == "rented":
-            rented = sum(len(names) for names in world.cloud.hires.values())
-            self._expect(rented <= int(words[0]), f"{rented} machines were rented")
-        elif what == "held":
-            held = len(world.cloud.machines)
-            self._expect(int(words[0]) <= held <= int(words[1]), f"{held} machines are paid for")
-        elif what == "gone":
-            self._expect(words[0] not in world.workers, f"{words[0]} is still there")
-        elif what == "machines":
-            number = len(world.workers)
-            self._expect(int(words[0]) <= number <= int(words[1]), f"{number} machines")
-        elif what == "zone":
-            zones = {w.zone for w in world.workers.values() for t in w.on_machine() if t.startswith(words[0])}
-            self._expect(zones == set(words[1].split(",")), f"{words[0]} is in {zones}")
-        elif what == "work":
-            # So many of one kind of call for each of another, at the most.
-            name, ratio, each = words
-            count, of = world.work[name], world.work[each]
-            self._expect(count <= float(ratio) * of, f"{count} {name} for {of} {each}")
-        elif what == "relayed":
-            share = world.work["relayed"] / max(1, world.work["reports"])
-            self._expect(share >= float(words[0]), f"{share:.2f} of all reports were relayed")
-        elif what == "sessions":
-            lost = [worker.name for worker in world.workers.values() if worker.session > 1]
-            self._expect(len(lost) <= int(words[0]), f"lost their leases: {', '.join(lost)}")
-        elif what == "terms":
-            held = world.state.keys[TOKEN][0]["baton"]
-            self._expect(held <= int(words[0]), f"{held} terms")
-        elif what == "settled":
-            for text in world.settled():
-                self._expect(False, text)
-        elif what == "leader":
-            self._expect((world.leader() is not None) == (words[0] == "yes"), "leader")
-        else:
-            raise ValueError(what)
+        getattr(self, f"_expect_{what}")(*words)
+
+    def _expect_told(self, job_id: str, status: str) -> None:
+        told = self.world.told.get(job_id)
+        self._expect(told == status, f"{job_id} is {told}")
+
+    def _expect_up(self, job_id: str, number: str) -> None:
+        tasks = [task for worker in self.world.workers.values() for task in worker.on_machine()]
+        up = {task for task in tasks if task.startswith(job_id + "/")}
+        self._expect(len(up) == int(number), f"{job_id} has {len(up)} tasks up")
+
+    def _expect_attempts(self, job_id: str, number: str) -> None:
+        """Attempts of a gang that started whole."""
+        attempts = self.world.gangs.starts.get(job_id, 0)
+        self._expect(attempts == int(number), f"{job_id} started {attempts} times")
+
+    def _expect_saved(self, job_id: str, least: str) -> None:
+        """So many seconds of a gang's work were saved at least."""
+        saved = self.world.gangs.saved.get(job_id, 0.0)
+        self._expect(saved >= float(least), f"{job_id} has saved {saved:.1f} s")
+
+    def _starts(self, job_id: str) -> list[int]:
+        """How often each task of a job was started."""
+        return [number for task, number in self.world.starts.items() if task.startswith(job_id + "/")]
+
+    def _expect_starts(self, job_id: str, most: str) -> None:
+        starts = max(self._starts(job_id), default=0)
+        self._expect(starts <= int(most), f"a task of {job_id} started {starts} times")
+
+    def _expect_tries(self, job_id: str, most: str) -> None:
+        """Starts of all tasks of a job together."""
+        tries = sum(self._starts(job_id))
+        self._expect(tries <= int(most), f"tasks of {job_id} started {tries} times")
+
+    def _expect_rented(self, most: str) -> None:
+        rented = sum(len(names) for names in self.world.cloud.hires.values())
+        self._expect(rented <= int(most), f"{rented} machines were rented")
+
+    def _expect_held(self, least: str, most: str) -> None:
+        held = len(self.world.cloud.machines)
+        self._expect(int(least) <= held <= int(most), f"{held} machines are paid for")
+
+    def _expect_gone(self, machine: str) -> None:
+        self._expect(machine not in self.world.workers, f"{machine} is still there")
+
+    def _expect_machines(self, least: str, most: str) -> None:
+        number = len(self.world.workers)
+        self._expect(int(least) <= number <= int(most), f"{number} machines")
+
+    def _expect_zone(self, job_id: str, expected: str) -> None:
+        workers = self.world.workers.values()
+        zones = {worker.zone for worker in workers for task in worker.on_machine() if task.startswith(job_id)}
+        self._expect(zones == set(expected.split(",")), f"{job_id} is in {zones}")
+
+    def _expect_work(self, name: str, ratio: str, each: str) -> None:
+        """So many of one kind of call for each of another, at the most."""
+        count, of = self.world.work[name], self.world.work[each]
+        self._expect(count <= float(ratio) * of, f"{count} {name} for {of} {each}")
+
+    def _expect_relayed(self, least: str) -> None:
+        share = self.world.work["relayed"] / max(1, self.world.work["reports"])
+        self._expect(share >= float(least), f"{share:.2f} of all reports were relayed")
+
+    def _expect_sessions(self, most: str) -> None:
+        lost = [worker.name for worker in self.world.workers.values() if worker.session > 1]
+        self._expect(len(lost) <= int(most), f"lost their leases: {', '.join(lost)}")
+
+    def _expect_terms(self, most: str) -> None:
+        held = self.world.state.keys[TOKEN][0]["baton"]
+        self._expect(held <= int(most), f"{held} terms")
+
+    def _expect_settled(self) -> None:
+        for text in self.world.settled():
+            self._expect(False, text)
+
+    def _expect_leader(self, word: str) -> None:
+        self._expect((self.world.leader() is not None) == (word == "yes"), "leader")
 
 
 def _next_limits(head: dict[str, str]) -> NextState | None:
--- a/tests/world.py
+++ b/tests/world.py
@@ -25,6 +25,8 @@
 from poppyhold.wire.messages import encode
 from sim_node import STEP_S, SimNode
 
+# Users ask once in so many steps.
+_POLL_TICKS = 40
 # A worker waits so long for an answer.
 _PATIENCE_S = 4.0
 
@@ -105,6 +107,8 @@
             self._completed,
         )
         self.lose_hires = 0
+        # How many times as often users ask; 0: as usual.
+        self.poll_factor = 0
         # What boots that begin now take, as a multiple of the usual; 0: the usual.
         self.boot_factor = 0.0
         # Shares of transactions that get no answer: those carried out at once, and those carried out late.
@@ -182,7 +186,7 @@
             self._boot_machines()
             self.cloud.remember()
             self._check()
-        if tick % 40 == 7:
+        if tick % (_POLL_TICKS // (self.poll_factor or 1)) == 0:
             self._poll()
 
     # -- machines ----------------------------------------------------------------------------------
