Plans of urgent jobs are made durable first, those of guests last; new leaders are found unhindered

Change: ranks of commits by urgency and guarantee; a plan is removed by the leader when nobody waits for changes; workers wait only for a leader that has led for half a lease.

--- a/src/poppyhold/cluster/departures.py
+++ b/src/poppyhold/cluster/departures.py
@@ -6,6 +6,8 @@
 
 # Share of a lease that such a worker is kept waiting for the next leader.
 _WAIT_RATIO = 0.2
+# Share of a lease within which a new leader is found by its workers.
+_FOUND_RATIO = 0.5
 
 
 class Departures:
@@ -18,8 +20,12 @@
     """
 
     def __init__(self, lease_s: float) -> None:
-        self._wait_s = lease_s * _WAIT_RATIO
+        self._wait_s, self._found_s = lease_s * _WAIT_RATIO, lease_s * _FOUND_RATIO
 
-    def wait_s(self, report: Report, leader_token: int) -> float:
-        """How long to wait; no time for workers that may not have found this leader yet."""
-        return self._wait_s if report.token >= leader_token else 0.0
+    def wait_s(self, report: Report, leader_token: int, led_s: float) -> float:
+        """How long to wait; no time for workers that may not have found this leader yet.
+
+        Behind a change they have its token from its direct commands before they report to it. ``led_s`` is
+        for how long it has led.
+        """
+        return self._wait_s if report.token >= leader_token and led_s > self._found_s else 0.0
--- a/src/poppyhold/cluster/election.py
+++ b/src/poppyhold/cluster/election.py
@@ -74,6 +74,8 @@
         self._resting_until = 0.0
         self._vacant_since = time.monotonic()
         self.leader: Leader | None = None
+        # When we learnt of this leader.
+        self.leader_since = time.monotonic()
         self._named = threading.Condition()
         self._snapshot_seen = False
         self.term: Term | None = None
@@ -157,6 +159,8 @@
         with self._named:
             if leader is None and self.leader is not None:
                 self._vacant_since = time.monotonic()
+            if leader is not None and (self.leader is None or leader.token != self.leader.token):
+                self.leader_since = time.monotonic()
             self.leader = leader
             if leader is not None:
                 self._named.notify_all()
--- a/src/poppyhold/durable/store.py
+++ b/src/poppyhold/durable/store.py
@@ -192,8 +192,11 @@
 
 
 def final_writes(job_id: str, status: str, tasks: int) -> list[Data]:
-    """The writes that move a job's record to the final ones."""
-    return [remove(ACTIVE + job_id), put(FINAL + job_id, {"s": status, "n": tasks}), remove(PLAN + job_id)]
+    """The writes that move a job's record to the final ones.
+
+    Its plan means nothing without it, and is removed by the leader when nobody waits for changes.
+    """
+    return [remove(ACTIVE + job_id), put(FINAL + job_id, {"s": status, "n": tasks})]
 
 
 def grouped(entries: Iterable[Entry], prefix: str) -> dict[str, Data]:
--- a/src/poppyhold/model/context.py
+++ b/src/poppyhold/model/context.py
@@ -31,9 +31,13 @@
 
     # What takes the longest behind it, or holds up everything else: hires, tokens, machines' records.
     SOONEST = 0
-    # What somebody waits for: plans, ends of jobs.
-    AWAITED = 1
-    BACKGROUND = 2
+    # Plans of urgent jobs. A swarm of short jobs takes more changes than there are, and behind its plans
+    # those of critical replicas waited for a minute.
+    URGENT = 1
+    # What else somebody waits for: plans and ends of jobs; those of teams without a guarantee come behind.
+    AWAITED = 2
+    UNGUARANTEED = 3
+    BACKGROUND = 4
 
 
 class Edges(Protocol):
--- a/src/poppyhold/node/controller.py
+++ b/src/poppyhold/node/controller.py
@@ -15,7 +15,7 @@
 from poppyhold.execution.failures import Failures
 from poppyhold.execution.gangs import GangState
 from poppyhold.machines.hiring import Hiring
-from poppyhold.model.context import CommitRank, Context, Edges, Hints, Times
+from poppyhold.model.context import Context, Edges, Hints, Times
 from poppyhold.model.fleet import (
     Attempt,
     Job,
@@ -63,7 +63,7 @@
         self._quotas = Quotas(settings.settings.teams)
         self.failures = Failures(times, clock, self._judged)
         self.attempts = Attempts(self.ctx, self._task_done, self._attempt_over, self._task_ran, self.failures)
-        self.admission = Admission(self.ctx, lambda job: self.job_removed(ACTIVE + job.id))
+        self.admission = Admission(self.ctx, self._quotas, lambda job: self.job_removed(ACTIVE + job.id))
         self.dispatcher = Dispatcher(self.ctx, self.attempts, self._quotas, self.admission)
         self.hiring = Hiring(self.ctx, self.attempts, self._quotas, self._machine_gone)
         self.completions = Completions(self.ctx)
@@ -98,6 +98,9 @@
             if job is not None and job.id in snapshot.plans:
                 self.admission.load(job, snapshot.plans[job.id])
                 self.failures.load(job)
+        for job_id in snapshot.plans.keys() - ctx.fleet.jobs.keys():
+            # Its job was over before its plan was removed.
+            self.admission.remove_plan(job_id)
         for prefix, records in snapshot.done.items():
             self.completions.load(prefix, records)
         for job in sorted(ctx.fleet.jobs.values(), key=lambda job: job.at):
@@ -169,6 +172,8 @@
         for attempt in list(job.active.values()):
             self.attempts.stop(attempt, 0.0, now)
         self.completions.remove(job)
+        if job.plan_durable or job.plan_asked:
+            self.admission.remove_plan(job_id)
         self._prune(job)
         self.ctx.dirty = True
 
@@ -292,7 +297,7 @@
             {ACTIVE + job.id: job.version},
             final_writes(job.id, "done", job.spec.tasks),
             durable,
-            CommitRank.AWAITED,
+            self.admission.rank_of(job),
         )
 
     # -- machines ------------------------------------------------------------------------------------
--- a/src/poppyhold/node/service.py
+++ b/src/poppyhold/node/service.py
@@ -391,7 +391,8 @@
         """Wait a moment for a leader, and send the worker there."""
         leader = self.election.await_leader(self._naming_s)
         if leader is not None and leader.member != self.settings.member and not self._forwarding.is_wanted():
-            wait_s = self._departures.wait_s(report, leader.token)
+            led_s = time.monotonic() - self.election.leader_since
+            wait_s = self._departures.wait_s(report, leader.token, led_s)
             if wait_s:
                 leader = self.election.await_next(leader, wait_s)
         # The election may have named us meanwhile.
--- a/src/poppyhold/scheduling/admission.py
+++ b/src/poppyhold/scheduling/admission.py
@@ -9,14 +9,18 @@
 
 from poppyhold.durable.records import PlanRecord
 from poppyhold.durable.store import ACTIVE as ACTIVE_KEYS
-from poppyhold.durable.store import PLAN, Data, put, stored_bytes
+from poppyhold.durable.store import PLAN, Data, put, remove, stored_bytes
 from poppyhold.model.context import CommitRank, Context
 from poppyhold.model.fleet import NOTHING, Attempt, Job, Machine, Room, plus
 from poppyhold.scheduling.estimates import Estimates
 from poppyhold.scheduling.ledger import Ledger
+from poppyhold.scheduling.placement import Quotas
 from poppyhold.scheduling.planner import Plan, Planner
 from poppyhold.scheduling.pricing import Pricing
-from poppyhold.wire.messages import convert
+from poppyhold.wire.messages import RANKS, convert
+
+# Jobs of this priority and above it are urgent.
+_LEAST_URGENT = RANKS.index("high")
 
 log = logging.getLogger(__name__)
 
@@ -24,8 +28,8 @@
 class Admission:
     """Plans jobs on priced room, and keeps the room that plans and running tasks book."""
 
-    def __init__(self, ctx: Context, on_ended: Callable[[Job], None]) -> None:
-        self._ctx, self._on_ended = ctx, on_ended
+    def __init__(self, ctx: Context, quotas: Quotas, on_ended: Callable[[Job], None]) -> None:
+        self._ctx, self._quotas, self._on_ended = ctx, quotas, on_ended
         design = ctx.options.design
         self.ledger = Ledger(design.horizon_slots)
         self.pricing = Pricing(design)
@@ -189,7 +193,19 @@
                 self._on_ended(job)
 
         conditions = {ACTIVE_KEYS + job.id: job.version}
-        self._ctx.edges.commit(conditions, [put(PLAN + job.id, data)], durable, CommitRank.AWAITED)
+        self._ctx.edges.commit(conditions, [put(PLAN + job.id, data)], durable, self._plan_rank(job))
+
+    def _plan_rank(self, job: Job) -> CommitRank:
+        rank = self.rank_of(job)
+        return CommitRank.URGENT if rank is CommitRank.AWAITED and job.rank <= _LEAST_URGENT else rank
+
+    def rank_of(self, job: Job) -> CommitRank:
+        """The rank of what is made durable of a job and somebody waits for."""
+        return CommitRank.AWAITED if self._quotas.has_guarantee(job.spec.team) else CommitRank.UNGUARANTEED
+
+    def remove_plan(self, job_id: str) -> None:
+        """Remove the plan of a job that is over, when nobody waits for changes."""
+        self._ctx.edges.commit({}, [remove(PLAN + job_id)], lambda done: None)
 
     def _record(self, job: Job) -> Data:
         """The durable form of a plan; one that does not fit loses its last slots.
--- a/src/poppyhold/scheduling/placement.py
+++ b/src/poppyhold/scheduling/placement.py
@@ -33,6 +33,11 @@
         """Whether the team exists."""
         return team in self._teams
 
+    def has_guarantee(self, team: str) -> bool:
+        """Whether the team is guaranteed anything."""
+        limits = self._teams.get(team)
+        return limits is not None and (limits.gpus > 0 or limits.cpus > 0)
+
     def ever_fits(self, team: str, need: Room, tasks: int) -> bool:
         """Whether so many tasks stay within the team's limit."""
         limits = self._teams[team]
@@ -77,8 +82,8 @@
     def within_guarantee(self, team: str, cpus: float, gpus: float) -> bool:
         """Whether an amount fits into what the team is guaranteed."""
         limits = self._teams.get(team)
-        # Guests have none at all. One for accelerators alone covers work that needs none of them.
-        if limits is None or not (limits.gpus > 0 or limits.cpus > 0):
+        # One for accelerators alone covers work that needs none of them.
+        if limits is None or not self.has_guarantee(team):
             return False
         return (
             (gpus > 0 or cpus > 0)
--- a/tests/sim_node.py
+++ b/tests/sim_node.py
@@ -387,6 +387,8 @@
         self.passed_on: dict[str, tuple[float, Passed]] = {}
         self.lease_proxy = LeaseProxy(self.times, 0.0, lambda: self.world.now, lambda: self.world.now)
         self._departures = Departures(self.settings.settings.workers.lease_s)
+        self._leader_since = self.world.now
+        self._leader_token = 0
         self.connectivity = Connectivity(self.member, self.times.report_s, lambda: self.world.now)
         builds = {b["name"]: convert(b, MachineType) for b in self.world.cloud.machine_types}
         # Each question is a shared read by itself: the view is what users are answered from.
@@ -474,7 +476,8 @@
         leader = self.world.leader()
         if self.relays_reports() or leader in (None, self) or not self.has_state():
             return 0.0
-        return self._departures.wait_s(parse_report(body), self.lowest_token())
+        token = self.lowest_token()
+        return self._departures.wait_s(parse_report(body), token, self.world.now - self._leader_since)
 
     def _await_next_leader(
         self, body: Data, respond: Callable[[int, Data], None], token: int, until: float
@@ -510,6 +513,8 @@
                 self.first_revision = self.store.revision()
         except (RefusedError, UncertainError, ConflictError):
             pass
+        if self.lowest_token() != self._leader_token:
+            self._leader_token, self._leader_since = self.lowest_token(), self.world.now
         self._listen()
         self._ask_peers()
         leader_term = self.leader_term
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -24,6 +24,7 @@
 from poppyhold.scheduling.gang_placement import GangPlacement
 from poppyhold.scheduling.placement import Quotas
 from poppyhold.scheduling.relocation import Relocation
+from poppyhold.wire.messages import Report
 from scenario import FOLDER, Scenario, variants
 
 
@@ -183,6 +184,11 @@
     return now - machine.since > 1.5 * machine.machine_type.boot_s
 
 
+def _behind_a_change_too(self: Departures, report: Report, leader_token: int, led_s: float) -> float:
+    """Workers wait wherever they have the leader's token, though they may be on their way to it."""
+    return self._wait_s if report.token >= leader_token else 0.0
+
+
 def _hopeless_alone(self: Boots, machine: Machine, give_up_s: float, now: float) -> bool:
     """Each machine is given up by itself, whatever others do."""
     return now - machine.since > give_up_s
@@ -196,7 +202,10 @@
 ]
 
 # Workers that a leader's cut sends to other controllers.
-GUARDS += [("leader_drops_workers", Departures, "wait_s", _no_time)]
+GUARDS += [
+    ("leader_drops_workers", Departures, "wait_s", _no_time),
+    ("few_hang_at_change_of_leader", Departures, "wait_s", _behind_a_change_too),
+]
 
 # The same for relays.
 GUARDS += [
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -26,7 +26,10 @@
     put,
 )
 from poppyhold.model.context import CommitRank
+from poppyhold.scale.jobs import submission
 from poppyhold.scale.standins import StateStandIn
+from poppyhold.settings import Team
+from sim_node import SimLeaderTerm
 from world import World
 
 Data = dict[str, Any]
@@ -219,3 +222,34 @@
     committer.stop()
     plans = [f"{PLAN}{number:02d}" for number in range(20)]
     assert store.order == [f"{PLAN}first", f"{HIRE}r-1", *plans, "records"]
+
+
+def test_plans_of_urgent_jobs_go_first_and_those_of_guests_last(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Six one-task jobs a second of a team without a guarantee kept plans of critical replicas back for a minute.
+    world = World(1, 10.0, 30.0, [Team("alpha", gpus=8), Team("gamma")])
+    ranks: dict[str, CommitRank] = {}
+    inner = SimLeaderTerm.commit
+
+    def commit(
+        self: SimLeaderTerm,
+        conditions: Data,
+        writes: list[Data],
+        done: Any,
+        rank: CommitRank = CommitRank.BACKGROUND,
+    ) -> None:
+        ranks.update({write["set"]: rank for write in writes if write.get("set", "").startswith(PLAN)})
+        inner(self, conditions, writes, done, rank)
+
+    monkeypatch.setattr(SimLeaderTerm, "commit", commit)
+    world.run(5.0)
+    jobs = {"job-000001": ("gamma", "best_effort"), "job-000002": ("alpha", "standard")}
+    jobs |= {"job-000003": ("alpha", "critical"), "job-000004": ("gamma", "high")}
+    for job_id, (team, rank) in jobs.items():
+        world.submit(submission(job_id, {"crew": team, "rank": rank}))
+    world.run(8.0)
+    assert [ranks[PLAN + job_id] for job_id in jobs] == [
+        CommitRank.UNGUARANTEED,
+        CommitRank.AWAITED,
+        CommitRank.URGENT,
+        CommitRank.UNGUARANTEED,
+    ]
--- a/tests/world.py
+++ b/tests/world.py
@@ -26,7 +26,7 @@
 from sim_node import STEP_S, SimNode
 
 # Users ask once in so many steps.
-_POLL_TICKS = 40
+_POLL_TICKS, _POLL_PHASE = 40, 7
 # A worker waits so long for an answer.
 _PATIENCE_S = 4.0
 
@@ -186,7 +186,8 @@
             self._boot_machines()
             self.cloud.remember()
             self._check()
-        if tick % (_POLL_TICKS // (self.poll_factor or 1)) == 0:
+        poll_ticks = _POLL_TICKS // (self.poll_factor or 1)
+        if tick % poll_ticks == _POLL_PHASE % poll_ticks:
             self._poll()
 
     # -- machines ----------------------------------------------------------------------------------
