--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -225,7 +225,7 @@
 
 
 def test_plans_of_urgent_jobs_go_first_and_those_of_guests_last(monkeypatch: pytest.MonkeyPatch) -> None:
-    # Six one-task jobs a second of a team without a guarantee kept plans of critical replicas back for a minute.
+    # Six one-task jobs a second of a guest team kept plans of critical replicas back for a minute.
     world = World(1, 10.0, 30.0, [Team("alpha", gpus=8), Team("gamma")])
     ranks: dict[str, CommitRank] = {}
     inner = SimLeaderTerm.commit
