--- a/src/poppyhold/node/users.py
+++ b/src/poppyhold/node/users.py
@@ -51,7 +51,7 @@
 
 def _questions_pace(deployment: Deployment) -> Pace:
     """How fast one controller may ask the state service for its users' questions."""
-    per_second = deployment.state.rps * _QUESTIONS_SHARE / deployment.count
+    per_second = deployment.state.lowest.rps * _QUESTIONS_SHARE / deployment.count
     return Pace(per_second, burst=per_second * _GATHER_RATIO * 2)
 
 
--- a/src/poppyhold/settings.py
+++ b/src/poppyhold/settings.py
@@ -234,6 +234,10 @@
     for peer in settings.known:
         split_address(peer.address, f"known.{peer.member}.address")
     deployment = settings.settings
+    if deployment.count < 1:
+        raise ConfigError("settings.count: must be above 0")
+    if not 0 <= deployment.skew_ms < float("inf"):
+        raise ConfigError("settings.skew_ms: must not be below 0")
     for section, names in _POSITIVE.items():
         for name in names:
             value = getattr(getattr(deployment, section), name)
@@ -264,6 +268,8 @@
     """Each team is named once, with amounts that can be."""
     _check_unique("settings.teams.name", [team.name for team in teams])
     for team in teams:
+        if not team.name:
+            raise ConfigError("settings.teams.name: must not be empty")
         for name in ("cpus", "cpus_max", "gpus", "gpus_max"):
             if not 0 <= getattr(team, name) < float("inf"):
                 raise ConfigError(f"settings.teams.{team.name}.{name}: must not be below 0")
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -237,6 +237,9 @@
     assert len(load_settings(path).known) == 2
     for old, new, name in (
         ("count = 1", 'count = "x"', "count"),
+        ("count = 1", "count = 0", "settings.count"),
+        ("count = 1", "count = -3", "settings.count"),
+        ("count = 1", "count = 1\nskew_ms = -1.0", "settings.skew_ms"),
         ("127.0.0.1:4", "nowhere", "outside.state"),
         ("lease_s = 10.0", "lease_s = 0.0", "lease_s"),
         ("cancel_s = 30.0", "cancel_s = 5.0", "cancel_s"),
@@ -251,6 +254,7 @@
         ("[outside]", KNOWN.format("b", "z") * 2 + "[outside]", "known.member: 'b'"),
         ("[outside]", KNOWN.format("a", "z") + "[outside]", "known.member: 'a'"),
         ("cancel_s = 30.0", "cancel_s = 30.0\n" + TEAM.format("t", 1.0) * 2, "settings.teams.name: 't'"),
+        ("cancel_s = 30.0", "cancel_s = 30.0\n" + TEAM.format("", 1.0), "settings.teams.name"),
         ("cancel_s = 30.0", "cancel_s = 30.0\n" + TEAM.format("t", -1.0), "settings.teams.t.gpus_max"),
         ("cancel_s = 30.0", "cancel_s = 30.0\n" + TEAM.format("t", "inf"), "settings.teams.t.gpus_max"),
     ):
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -12,6 +12,7 @@
 from poppyhold.cluster.departures import Departures
 from poppyhold.cluster.lease_proxy import LeaseProxies, LeaseProxy
 from poppyhold.execution.attempts import Attempts
+from poppyhold.execution.completions import Completions
 from poppyhold.execution.direct_commands import DirectCommands
 from poppyhold.execution.failures import Failures
 from poppyhold.execution.gangs import Gangs, GangState
@@ -201,6 +202,12 @@
     ("boots_that_never_end", Boots, "is_hopeless", _never),
 ]
 
+# Controllers that stand still, and a huge array.
+GUARDS += [
+    ("freeze_in_a_hire", Hires, "load", _count_nothing),
+    ("huge_array", Completions, "load", _never),
+]
+
 # Workers that a leader's cut sends to other controllers.
 GUARDS += [
     ("leader_drops_workers", Departures, "wait_s", _no_time),
