Departures wait once a lease, leaders resign behind an interval; a start not taken is not repeated at once

Change: a worker waits once within a lease, up to a quarter of it; a leader resigns only if most workers have turned away for a report's interval; a machine that did not take a start is left alone for two.

--- a/src/poppyhold/cluster/departures.py
+++ b/src/poppyhold/cluster/departures.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from poppyhold.concurrency.recent import Recent
 from poppyhold.wire.messages import Report
 
 # Share of a lease that such a worker is kept waiting for the next leader.
-_WAIT_RATIO = 0.2
+_WAIT_RATIO = 0.25
 # Share of a lease within which a new leader is found by its workers.
 _FOUND_RATIO = 0.5
 
@@ -16,16 +17,27 @@
     Where a leader's way to the workers drops packets, a worker comes four seconds behind its last report and
     another one later. Sent straight back, it waited four seconds more, and by then its lease was over: in a
     fleet of 200 machines 400 tasks were lost though the next leader stood ready before the leases ended.
-    The leader resigns as soon as most workers have turned away, within a second of the first ones.
+    The leader resigns as soon as most workers have turned away, within two seconds of the first ones. Who
+    comes once more within a lease has waited in vain, and its lease may be about to end: it is sent back at
+    once.
     """
 
-    def __init__(self, lease_s: float) -> None:
+    def __init__(self, lease_s: float, most_workers: int) -> None:
+        """At most ``most_workers`` that waited are remembered."""
+        self._lease_s = lease_s
         self._wait_s, self._found_s = lease_s * _WAIT_RATIO, lease_s * _FOUND_RATIO
+        self._waited_at: Recent[float] = Recent(most_workers)
 
-    def wait_s(self, report: Report, leader_token: int, led_s: float) -> float:
+    def wait_s(self, report: Report, leader_token: int, led_s: float, now: float) -> float:
         """How long to wait; no time for workers that may not have found this leader yet.
 
         Behind a change they have its token from its direct commands before they report to it. ``led_s`` is
         for how long it has led.
         """
-        return self._wait_s if report.token >= leader_token and led_s > self._found_s else 0.0
+        if report.token < leader_token or led_s <= self._found_s:
+            return 0.0
+        waited_at = self._waited_at.get(report.machine)
+        if waited_at is not None and now - waited_at < self._lease_s:
+            return 0.0
+        self._waited_at.put(report.machine, now)
+        return self._wait_s
--- a/src/poppyhold/execution/attempts.py
+++ b/src/poppyhold/execution/attempts.py
@@ -170,12 +170,22 @@
 
     def _lost(self, attempt: Attempt, now: float) -> None:
         """A report proves that the attempt is not on its machine."""
-        unheard_start = attempt.status == TaskState.SENT and attempt.via == "reply"
-        if unheard_start and attempt.stopping_at is None:
-            # The machine's answers do not come through: leave it alone for a while.
-            attempt.machine.refused_until = now + self._ctx.times.lease_s / 2
+        if attempt.status == TaskState.SENT and attempt.stopping_at is None:
+            self._leave_alone(attempt, now)
         self._over(attempt)
 
+    def _leave_alone(self, attempt: Attempt, now: float) -> None:
+        """Start nothing on a machine for a while that did not take a start."""
+        times = self._ctx.times
+        if attempt.via == "reply":
+            # Its answers do not come through.
+            attempt.machine.refused_until = now + times.lease_s / 2
+        elif attempt.fence is None:
+            # It had the command. Most likely it holds an earlier attempt that has ended, which is removed with
+            # the answer to its next report. Where the start was repeated at once, again and again, a report
+            # was never its newest message.
+            attempt.machine.refused_until = now + 2 * times.report_s
+
     @staticmethod
     def _absence_proves(attempt: Attempt, report: Report, answered: bool) -> bool:
         """Whether a newer report without the attempt shows that it is not there and won't be."""
--- a/src/poppyhold/machines/machine_monitor.py
+++ b/src/poppyhold/machines/machine_monitor.py
@@ -52,6 +52,8 @@
     ) -> None:
         self._ctx, self._attempts, self._boots = ctx, attempts, boots
         self._deletions, self._provisioning = deletions, provisioning
+        # Since when most workers have turned to another controller.
+        self._turned_away_at = float("inf")
         # When many machines were silent last.
         self._many_quiet_at = float("-inf")
 
@@ -117,8 +119,7 @@
     def _judge_silence(self, survey: Survey, now: float) -> None:
         """Whether silent machines are lost, or cut off, or we are."""
         times, silent = self._ctx.times, survey.silent
-        most_silent = len(silent) * 2 >= survey.up and len(silent) > 1
-        if most_silent and self._lost_to_others(now) > 2 * survey.heard:
+        if self._turned_away(survey, now):
             # They try the other controllers: it is our own way to them that is broken. Where a zone is cut
             # off, half of all are silent too, and those that came to us passed the others on their way: with
             # each new leader resigning for that, nothing was started for the length of the cut.
@@ -144,6 +145,18 @@
             if given_up:
                 self._deletions.mark(machine, "silent")
 
+    def _turned_away(self, survey: Survey, now: float) -> bool:
+        """Whether most workers are silent here and have turned to another controller, for an interval.
+
+        Where all of them were silent and come back at one moment, some come to others first, and wait there.
+        """
+        most_silent = len(survey.silent) * 2 >= survey.up and len(survey.silent) > 1
+        if not (most_silent and self._lost_to_others(now) > 2 * survey.heard):
+            self._turned_away_at = float("inf")
+            return False
+        self._turned_away_at = min(self._turned_away_at, now)
+        return now - self._turned_away_at >= self._ctx.times.report_s
+
     def _keep_out_of(self, zones: set[str], now: float) -> None:
         """Rent nothing in zones that nothing is heard of: nobody could use it there."""
         for machine_type in self._ctx.machine_types.values():
--- a/src/poppyhold/node/service.py
+++ b/src/poppyhold/node/service.py
@@ -90,7 +90,7 @@
         # A worker that is not told where to go tries another node a second later. Where all nodes have just
         # come back, that second decides whether leases end; an election takes far less.
         self._naming_s = workers.report_s / 2
-        self._departures = Departures(workers.lease_s)
+        self._departures = Departures(workers.lease_s, settings.settings.machine_limits.machines)
         self._ready_s = workers.lease_s * 0.35
         self.server = Server(
             split_address(settings.client_listen),
@@ -391,8 +391,8 @@
         """Wait a moment for a leader, and send the worker there."""
         leader = self.election.await_leader(self._naming_s)
         if leader is not None and leader.member != self.settings.member and not self._forwarding.is_wanted():
-            led_s = time.monotonic() - self.election.leader_since
-            wait_s = self._departures.wait_s(report, leader.token, led_s)
+            now = time.monotonic()
+            wait_s = self._departures.wait_s(report, leader.token, now - self.election.leader_since, now)
             if wait_s:
                 leader = self.election.await_next(leader, wait_s)
         # The election may have named us meanwhile.
--- a/tests/sim_node.py
+++ b/tests/sim_node.py
@@ -386,7 +386,7 @@
         self.first_revision = -1
         self.passed_on: dict[str, tuple[float, Passed]] = {}
         self.lease_proxy = LeaseProxy(self.times, 0.0, lambda: self.world.now, lambda: self.world.now)
-        self._departures = Departures(self.settings.settings.workers.lease_s)
+        self._departures = Departures(self.settings.settings.workers.lease_s, 1000)
         self._leader_since = self.world.now
         self._leader_token = 0
         self.connectivity = Connectivity(self.member, self.times.report_s, lambda: self.world.now)
@@ -459,9 +459,8 @@
         """Whether a report is relayed that comes now."""
         return self.leader_term is None and self.relay.is_open()
 
-    def receive_report(self, body: Data, respond: Callable[[int, Data], None]) -> None:
-        """POST /hello, relayed to the leader where reports are relayed."""
-        wait_s = self.departure_wait_s(body)
+    def receive_report(self, body: Data, respond: Callable[[int, Data], None], wait_s: float) -> None:
+        """POST /hello: relayed to the leader, or answered within ``wait_s`` where its worker has left it."""
         if self.relays_reports():
             self.relay.take(body, respond)
             return
@@ -471,20 +470,28 @@
         else:
             respond(status, answer)
 
+    def _note_leader(self) -> int:
+        """The leader's token, as it is known from now on."""
+        token = self.lowest_token()
+        if token != self._leader_token:
+            self._leader_token, self._leader_since = token, self.world.now
+        return token
+
     def departure_wait_s(self, body: Data) -> float:
         """How long a worker waits here that has left a leader which still leads."""
         leader = self.world.leader()
         if self.relays_reports() or leader in (None, self) or not self.has_state():
             return 0.0
-        token = self.lowest_token()
-        return self._departures.wait_s(parse_report(body), token, self.world.now - self._leader_since)
+        token = self._note_leader()
+        now = self.world.now
+        return self._departures.wait_s(parse_report(body), token, now - self._leader_since, now)
 
     def _await_next_leader(
         self, body: Data, respond: Callable[[int, Data], None], token: int, until: float
     ) -> None:
         if not self.alive:
             return
-        if self.frozen or (self.lowest_token() == token and self.world.now < until):
+        if self.frozen or (self.lowest_token() in (0, token) and self.world.now < until):
             self.world.after(STEP_S, lambda: self._await_next_leader(body, respond, token, until))
         else:
             respond(*self.handle_report(body))
@@ -513,8 +520,7 @@
                 self.first_revision = self.store.revision()
         except (RefusedError, UncertainError, ConflictError):
             pass
-        if self.lowest_token() != self._leader_token:
-            self._leader_token, self._leader_since = self.lowest_token(), self.world.now
+        self._note_leader()
         self._listen()
         self._ask_peers()
         leader_term = self.leader_term
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -185,11 +185,24 @@
     return now - machine.since > 1.5 * machine.machine_type.boot_s
 
 
-def _behind_a_change_too(self: Departures, report: Report, leader_token: int, led_s: float) -> float:
+def _behind_a_change_too(
+    self: Departures, report: Report, leader_token: int, led_s: float, now: float
+) -> float:
     """Workers wait wherever they have the leader's token, though they may be on their way to it."""
     return self._wait_s if report.token >= leader_token else 0.0
 
 
+def _at_one_moment(self: MachineMonitor, survey: Survey, now: float) -> bool:
+    """One look is enough to tell that the workers have turned away."""
+    silent = len(survey.silent)
+    return silent * 2 >= survey.up and silent > 1 and self._lost_to_others(now) > 2 * survey.heard
+
+
+def _again_and_again(self: Departures, report: Report, leader_token: int, led_s: float, now: float) -> float:
+    """Workers wait each time that they come."""
+    return self._wait_s if report.token >= leader_token and led_s > self._found_s else 0.0
+
+
 def _hopeless_alone(self: Boots, machine: Machine, give_up_s: float, now: float) -> bool:
     """Each machine is given up by itself, whatever others do."""
     return now - machine.since > give_up_s
@@ -212,6 +225,8 @@
 GUARDS += [
     ("leader_drops_workers", Departures, "wait_s", _no_time),
     ("few_hang_at_change_of_leader", Departures, "wait_s", _behind_a_change_too),
+    ("zone_partition_of_two", Departures, "wait_s", _again_and_again),
+    ("mute_machines_and_copies", MachineMonitor, "_turned_away", _at_one_moment),
 ]
 
 # The same for relays.
--- a/tests/world.py
+++ b/tests/world.py
@@ -292,9 +292,10 @@
             if node.relays_reports():
                 self.work["relayed"] += 1
                 worker.awaits = flight
-            elif node.departure_wait_s(body):
+            wait_s = node.departure_wait_s(body)
+            if wait_s:
                 worker.awaits = flight
-            node.receive_report(body, respond)
+            node.receive_report(body, respond, wait_s)
 
         def respond(status: int, answer: Data) -> None:
             self._answered(worker, how, flight, status, answer)
