--- a/src/poppyhold/execution/attempts.py
+++ b/src/poppyhold/execution/attempts.py
@@ -181,9 +181,9 @@
             # Its answers do not come through.
             attempt.machine.refused_until = now + times.lease_s / 2
         elif attempt.fence is None:
-            # It had the command. Most likely it holds an earlier attempt that has ended, which is removed with
-            # the answer to its next report. Where the start was repeated at once, again and again, a report
-            # was never its newest message.
+            # It had the command. Most likely it holds an earlier attempt that has ended, which is removed
+            # with the answer to its next report. Where the start was repeated at once, again and again, a
+            # report was never its newest message.
             attempt.machine.refused_until = now + 2 * times.report_s
 
     @staticmethod
