Teams' quotas are a module of their own, where no limit and a limit of nothing differ

Need: a cell's share of a limit may be nothing, and 0 stood for "no limit" wherever a limit was compared. Fleet.unknown_use was a method of the dispatcher; its guard test names it there, with the same stub and scenario. Hiring tells whether a job's machine may be rented.

--- a/src/poppyhold/machines/hiring.py
+++ b/src/poppyhold/machines/hiring.py
@@ -18,8 +18,8 @@
 from poppyhold.machines.space import Demand, Space, demand_of, space_of
 from poppyhold.model.context import Context
 from poppyhold.model.fleet import NOTHING, Attempt, Machine, Room, how_many
-from poppyhold.scheduling.placement import Quotas
-from poppyhold.wire.messages import Listing
+from poppyhold.scheduling.quotas import Quotas
+from poppyhold.wire.messages import Listing, Submission
 
 log = logging.getLogger(__name__)
 
@@ -44,6 +44,11 @@
         # When each machine was needed last, as far as it was looked at in every round since.
         self._needed: dict[str, float] = {}
 
+    def can_rent(self, spec: Submission) -> bool:
+        """Whether a machine for a task of a job may be had from the cloud."""
+        ctx = self._ctx
+        return self._provisioning.is_rentable(spec, ctx.machine_types.values(), ctx.clock())
+
     def load_hire(self, name: str, data: Data) -> None:
         """A hire that an earlier leader made durable."""
         self._hires.load(name, data)
--- a/src/poppyhold/machines/provisioning.py
+++ b/src/poppyhold/machines/provisioning.py
@@ -151,6 +151,15 @@
         kind = (machine_type, zone, spot)
         self.refused_until[kind] = max(until, self.refused_until.get(kind, until))
 
+    def is_rentable(self, spec: Submission, machine_types: Iterable[MachineType], now: float) -> bool:
+        """Whether the cloud may have a machine for a task: it did not refuse all such ones lately."""
+        return any(
+            self.refused_until.get((machine_type.name, zone, False), 0.0) <= now
+            for machine_type in allowed_machine_types(spec, machine_types)
+            for zone in machine_type.zones
+            if spec.zone in (None, zone)
+        )
+
     def keep_s(self, machine_type: MachineType) -> float:
         """How long an unneeded machine is kept."""
         return machine_type.boot_s * self._options.keep_boots
--- a/src/poppyhold/model/fleet.py
+++ b/src/poppyhold/model/fleet.py
@@ -6,7 +6,7 @@
 import itertools
 import math
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 import msgspec
 
@@ -341,6 +341,14 @@
         used[0] += job.need[0]
         used[1] += job.need[1]
 
+    def unknown_use(self, unheard: Container[str]) -> Room:
+        """Room that may be in use on machines whose tasks we can't know: it counts for every team."""
+        total = NOTHING
+        for machine in self.machines.values():
+            if machine.name in unheard or machine.unknown_tasks:
+                total = plus(total, machine.capacity)
+        return total
+
     def remove(self, attempt: Attempt) -> None:
         """An attempt is proven to be over: its task is pending, unless it is done."""
         job, machine = attempt.job, attempt.machine
--- a/src/poppyhold/node/users.py
+++ b/src/poppyhold/node/users.py
@@ -28,7 +28,7 @@
 )
 from poppyhold.model.fleet import allowed_machine_types
 from poppyhold.reads.job_reads import JobReads
-from poppyhold.scheduling.placement import Quotas
+from poppyhold.scheduling.quotas import Quotas
 from poppyhold.settings import Deployment, Settings
 from poppyhold.wire.http import Answer, answer
 from poppyhold.wire.messages import JOB_ID, MachineType, MalformedError, Submission, decode, parse_submission
--- a/src/poppyhold/scheduling/admission.py
+++ b/src/poppyhold/scheduling/admission.py
@@ -14,9 +14,9 @@
 from poppyhold.model.fleet import NOTHING, Attempt, Job, Machine, Room, plus
 from poppyhold.scheduling.estimates import Estimates
 from poppyhold.scheduling.ledger import Ledger
-from poppyhold.scheduling.placement import Quotas
 from poppyhold.scheduling.planner import Plan, Planner
 from poppyhold.scheduling.pricing import Pricing
+from poppyhold.scheduling.quotas import Quotas
 from poppyhold.wire.messages import RANKS, convert
 
 # Jobs of this priority and above it are urgent.
--- a/src/poppyhold/scheduling/dispatch.py
+++ b/src/poppyhold/scheduling/dispatch.py
@@ -11,7 +11,8 @@
 from poppyhold.scheduling.admission import Admission
 from poppyhold.scheduling.free_room import RoomView
 from poppyhold.scheduling.gang_placement import GangPlacement
-from poppyhold.scheduling.placement import Choice, Placement, Quotas, fetch_wait, may_use, zone_allows
+from poppyhold.scheduling.placement import Choice, Placement, fetch_wait, may_use, zone_allows
+from poppyhold.scheduling.quotas import Quotas
 from poppyhold.scheduling.relocation import Relocation
 from poppyhold.scheduling.search import Search
 
@@ -122,7 +123,7 @@
         steady = [
             machine for machine in machines if machine.unreliable_until <= now and not suspects(machine)
         ]
-        self._pass = Pass(machines, steady, self._unknown_use())
+        self._pass = Pass(machines, steady, ctx.fleet.unknown_use(self._attempts.unheard))
         self.placement.begin(machines, [job for job in ctx.fleet.jobs.values() if job.active])
         self._gang_placement.begin(ctx.fleet.jobs.values())
         self._relocation.begin(self._pass.held)
@@ -237,14 +238,6 @@
         lost = min(ran, job.spec.save_s) if told else ran % job.spec.checkpoint_s
         return lost * job.spec.tasks
 
-    def _unknown_use(self) -> Room:
-        """Room that may be in use on machines whose tasks we can't know: it counts for every team."""
-        total = NOTHING
-        for machine in self._ctx.fleet.machines.values():
-            if machine.name in self._attempts.unheard or machine.unknown_tasks:
-                total = plus(total, machine.capacity)
-        return total
-
     def _start_some(self, job: Job, most: int, reserved: dict[str, Room], shared: bool) -> None:
         """Start up to so many tasks beside reserved room; ``shared``: it is the same for all jobs."""
         here = self._pass
--- a/src/poppyhold/scheduling/placement.py
+++ b/src/poppyhold/scheduling/placement.py
@@ -9,7 +9,6 @@
 
 from poppyhold.model.fleet import EPSILON, NOTHING, Attempt, Job, Machine, Room, fits, plus, zone_limit
 from poppyhold.scheduling.free_room import Ranking, Rankings, RoomView
-from poppyhold.settings import Team
 from poppyhold.wire.messages import BEFORE_IMAGE, STOPPABLE
 
 # Fetches take a third longer at times, as PROTOCOL says.
@@ -23,92 +22,6 @@
     victims: list[Attempt] = msgspec.field(default_factory=list)
 
 
-class Quotas:
-    """The teams' limits and guarantees."""
-
-    def __init__(self, teams: Iterable[Team]) -> None:
-        self._teams = {team.name: team for team in teams}
-
-    def known(self, team: str) -> bool:
-        """Whether the team exists."""
-        return team in self._teams
-
-    def has_guarantee(self, team: str) -> bool:
-        """Whether the team is guaranteed anything."""
-        limits = self._teams.get(team)
-        return limits is not None and (limits.gpus > 0 or limits.cpus > 0)
-
-    def ever_fits(self, team: str, need: Room, tasks: int) -> bool:
-        """Whether so many tasks stay within the team's limit."""
-        limits = self._teams[team]
-        return not (
-            (limits.cpus_max > 0 and need[0] * tasks > limits.cpus_max + 1e-6)
-            or (limits.gpus_max > 0 and need[1] * tasks > limits.gpus_max + 1e-6)
-        )
-
-    def allows(self, team: str, used: tuple[float, float], need: Room) -> bool:
-        """Whether one more task stays within the team's limit.
-
-        A task takes nothing of a resource that it does not need, whatever else may be in use of it: behind a
-        change of leader all accelerators of machines that were not heard yet count for every team, and urgent
-        work that needs none waited until the last of 4,000 machines was heard.
-        """
-        limits = self._teams.get(team)
-        if limits is None:
-            return False
-        return not (
-            (limits.cpus_max > 0 and need[0] > 0 and used[0] + need[0] > limits.cpus_max + 1e-6)
-            or (limits.gpus_max > 0 and need[1] > 0 and used[1] + need[1] > limits.gpus_max + 1e-6)
-        )
-
-    def left(self, team: str, used: list[float]) -> tuple[float, float]:
-        """What the team's limit leaves beside what is used."""
-        limits = self._teams.get(team)
-        if limits is None:
-            return 0.0, 0.0
-        return (
-            limits.cpus_max - used[0] if limits.cpus_max > 0 else math.inf,
-            limits.gpus_max - used[1] if limits.gpus_max > 0 else math.inf,
-        )
-
-    def excess(self, team: str, used: tuple[float, float], need: Room) -> tuple[float, float]:
-        """By how much one more task would go beyond the team's limit."""
-        limits = self._teams[team]
-        return (
-            max(0.0, used[0] + need[0] - limits.cpus_max) if limits.cpus_max > 0 and need[0] > 0 else 0.0,
-            max(0.0, used[1] + need[1] - limits.gpus_max) if limits.gpus_max > 0 and need[1] > 0 else 0.0,
-        )
-
-    def within_guarantee(self, team: str, cpus: float, gpus: float) -> bool:
-        """Whether an amount fits into what the team is guaranteed."""
-        limits = self._teams.get(team)
-        # One for accelerators alone covers work that needs none of them.
-        if limits is None or not self.has_guarantee(team):
-            return False
-        return (
-            (gpus > 0 or cpus > 0)
-            and (gpus <= limits.gpus + 1e-6 if limits.gpus > 0 or limits.cpus <= 0 else True)
-            and (cpus <= limits.cpus + 1e-6 if limits.cpus > 0 else True)
-        )
-
-    def mark_guaranteed(self, jobs: Iterable[Job]) -> None:
-        """Mark the jobs that fit into their team's guarantee, highest priority and earliest first.
-
-        Once one does not fit, none behind it is marked: so within a team nobody of a lower priority is
-        guaranteed what one of a higher is not, and preemption has no circles.
-        """
-        sums: dict[str, list[float]] = {}
-        full: set[str] = set()
-        for job in sorted(jobs, key=lambda job: (job.rank, job.at, job.id)):
-            team = job.spec.team
-            total = sums.setdefault(team, [0.0, 0.0])
-            total[0] += job.need[0] * job.spec.tasks
-            total[1] += job.need[1] * job.spec.tasks
-            if team not in full and not self.within_guarantee(team, total[0], total[1]):
-                full.add(team)
-            job.guaranteed = team not in full
-
-
 def may_use(job: Job, machine: Machine) -> bool:
     """Whether the job's own terms allow the machine, other tasks aside."""
     spec = job.spec
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -19,11 +19,11 @@
 from poppyhold.machines.boots import Boots
 from poppyhold.machines.hires import Hires
 from poppyhold.machines.machine_monitor import MachineMonitor, Survey
-from poppyhold.model.fleet import DONE, NOTHING, Job, Machine, Room, how_many
+from poppyhold.model.fleet import DONE, NOTHING, Fleet, Job, Machine, Room, how_many
 from poppyhold.node.controller import Controller
 from poppyhold.scheduling.dispatch import Dispatcher, Pass
 from poppyhold.scheduling.gang_placement import GangPlacement
-from poppyhold.scheduling.placement import Quotas
+from poppyhold.scheduling.quotas import Quotas
 from poppyhold.scheduling.relocation import Relocation
 from poppyhold.wire.messages import Report
 from scenario import FOLDER, Scenario, variants
@@ -120,7 +120,7 @@
     ("zone_cut", LeaseProxy, "may_answer", _never),
     ("zone_cut_long", LeaseProxies, "until", _long_ago),
     ("cancelled_before_the_cut", Controller, "excluded_machines", _nobody),
-    ("limit_and_cancelled", Dispatcher, "_unknown_use", _no_room),
+    ("limit_and_cancelled", Fleet, "unknown_use", _no_room),
     ("mute_machines_and_copies", MachineMonitor, "_lost_to_others", _all_of_them),
     ("deaf_machine", Attempts, "_ignores_answers", _never),
     ("gap", Cancellations, "named", _told_nothing),
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -33,7 +33,7 @@
 from poppyhold.scale.jobs import submission, wire
 from poppyhold.scheduling.free_room import Ranking, RoomView
 from poppyhold.scheduling.ledger import Ledger
-from poppyhold.scheduling.placement import Quotas
+from poppyhold.scheduling.quotas import Quotas
 from poppyhold.settings import ConfigError, MachineLimits, Team
 from poppyhold.settings import Settings as Deployed
 from poppyhold.wire.frames import send
