--- a/src/poppyhold/cli.py
+++ b/src/poppyhold/cli.py
@@ -9,9 +9,13 @@
 import sys
 import threading
 from collections.abc import Sequence
+from typing import TYPE_CHECKING
 
 from poppyhold import __version__
-from poppyhold.settings import ConfigError, load_settings, strains
+from poppyhold.settings import ConfigError, Settings, load_settings, strains
+
+if TYPE_CHECKING:
+    from poppyhold.options import Options
 
 log = logging.getLogger(__name__)
 
@@ -25,31 +29,64 @@
     parser = argparse.ArgumentParser(prog="poppyhold", description="A scheduler for model-serving fleets.")
     parser.add_argument("--version", action="version", version=f"poppyhold {__version__}")
     commands = parser.add_subparsers(dest="command", required=True)
+    quota = commands.add_parser("quota", help="shares of teams' limits over cells")
+    questions = quota.add_subparsers(dest="question", required=True)
+    status = questions.add_parser("status", help="what this cell's leader knows of all shares")
+    _add_files(status)
+    status.add_argument("--json", action="store_true", help="write JSON instead of a table")
     for name, text in (("serve", "run one controller"), ("check-config", "check the files and stop")):
         command = commands.add_parser(name, help=text, description=text)
-        command.add_argument("--options", metavar="FILE", help="operators' settings, protobuf text format")
-        command.add_argument("--config", metavar="FILE", required=True, help="the platform's settings, TOML")
+        _add_files(command)
     return parser
 
 
+def _add_files(command: argparse.ArgumentParser) -> None:
+    """The two files that every command takes."""
+    command.add_argument("--options", metavar="FILE", help="operators' settings, protobuf text format")
+    command.add_argument("--config", metavar="FILE", required=True, help="the platform's settings, TOML")
+
+
 def _log_level() -> int:
     name = os.environ.get("LOG_LEVEL", "info").upper()
     return {"ERROR": logging.ERROR, "DEBUG": logging.DEBUG}.get(name, logging.INFO)
 
 
+def _quota_status(settings: Settings, options: Options, as_json: bool) -> int:
+    """Print what the cell's leader knows of shares; returns the exit status."""
+    import msgspec
+
+    from poppyhold.quota.status import ALARM, NoLeaderError, fetch, render, summarize
+
+    if options.cells is None:
+        print("poppyhold: cells: the options file names no other cells", file=sys.stderr)
+        return 2
+    try:
+        status = summarize(fetch(settings))
+    except NoLeaderError as error:
+        print(f"poppyhold: {error}", file=sys.stderr)
+        return ALARM
+    print(msgspec.json.encode(status).decode() if as_json else render(status))
+    return status.exit_status
+
+
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the program; returns its exit status."""
     args = _parser().parse_args(argv)
     logging.basicConfig(stream=sys.stderr, level=_log_level(), format="%(levelname).1s %(name)s: %(message)s")
     from poppyhold.capacity import shortfalls
     from poppyhold.options import load_options
+    from poppyhold.quota.amounts import check_limits
 
     try:
         settings = load_settings(args.config)
         options = load_options(args.options)
+        if options.cells is not None:
+            check_limits(settings)
     except ConfigError as error:
         print(f"poppyhold: {error}", file=sys.stderr)
         return 2
+    if args.command == "quota":
+        return _quota_status(settings, options, args.json)
     for line in [*strains(settings), *shortfalls(settings, options)]:
         log.warning("%s", line)
     if args.command == "check-config":
--- a/src/poppyhold/cluster/peers.py
+++ b/src/poppyhold/cluster/peers.py
@@ -16,6 +16,8 @@
 from poppyhold.cluster.connectivity import Connectivity
 from poppyhold.cluster.lease_proxy import LeaseProxies, Trust
 from poppyhold.model.context import Hints, Passed
+from poppyhold.quota.messages import Answer as QuotaAnswer
+from poppyhold.quota.messages import Opening as QuotaOpening
 from poppyhold.relay.messages import RelayHello
 from poppyhold.settings import Known, Settings, split_address
 from poppyhold.wire.frames import receive, send
@@ -79,12 +81,11 @@
 
 Message = Ping | Pong
 # What may come first on a connection from another controller.
-_opening_decoder: msgspec.msgpack.Decoder[Message | RelayHello] = msgspec.msgpack.Decoder(
-    Message | RelayHello
-)
+Opening = Message | RelayHello | QuotaOpening
+_opening_decoder: msgspec.msgpack.Decoder[Opening] = msgspec.msgpack.Decoder(Opening)
 
 
-def receive_opening(connection: socket.socket) -> Message | RelayHello:
+def receive_opening(connection: socket.socket) -> Opening:
     """Receive one frame; a malformed one raises ValueError, and the connection must end."""
     return receive(connection, _opening_decoder)
 
@@ -111,9 +112,13 @@
         on_refused: Callable[[str], None],
         proxies: Callable[[], LeaseProxies | None],
         on_relay: Callable[[socket.socket, RelayHello], None],
+        on_quota: Callable[[QuotaOpening], QuotaAnswer],
+        quota_links: int = 0,
     ) -> None:
+        """``on_quota`` answers other cells' leaders and operators, of whom ``quota_links`` may connect."""
         self._settings = settings
-        self._proxies, self._on_relay = proxies, on_relay
+        self._proxies, self._on_relay, self._on_quota = proxies, on_relay, on_quota
+        self._quota_links = quota_links
         self._describe, self._counts, self._hints = describe, counts, hints
         self._reply, self._on_pong, self._on_refused = reply, on_pong, on_refused
         workers = settings.settings.workers
@@ -142,7 +147,7 @@
         self._listener.close()
 
     def _accept(self) -> None:
-        slots = threading.BoundedSemaphore(4 * len(self._settings.known) + 4)
+        slots = threading.BoundedSemaphore(4 * len(self._settings.known) + 4 + self._quota_links)
         while not self._stop.is_set():
             try:
                 connection, _ = self._listener.accept()
@@ -166,6 +171,9 @@
                         # It is a relay's from now on, to its end.
                         self._on_relay(connection, message)
                         return
+                    if isinstance(message, QuotaOpening):
+                        send(connection, self._on_quota(message))
+                        continue
                     if not isinstance(message, Ping):
                         raise ValueError("not a ping")
                     send(connection, self._reply(message))
--- a/src/poppyhold/durable/snapshot.py
+++ b/src/poppyhold/durable/snapshot.py
@@ -12,6 +12,7 @@
     HIRE,
     MACHINE,
     PLAN,
+    QUOTA,
     Data,
     Entry,
     Store,
@@ -32,6 +33,7 @@
         done: dict[str, dict[str, Data]] | None = None,
         hires: dict[str, Data] | None = None,
         machines: dict[str, Data] | None = None,
+        quota: Iterable[Entry] = (),
     ) -> None:
         self.active = list(active)
         self.plans = plans or {}
@@ -39,6 +41,7 @@
         self.done = done or {}
         self.hires = hires or {}
         self.machines = machines or {}
+        self.quota = list(quota)
 
 
 class SnapshotReader:
@@ -48,8 +51,10 @@
     the active jobs are read once more by the watch that goes on from here.
     """
 
-    def __init__(self, store: Store) -> None:
-        self._readers = {prefix: PrefixReader(store, prefix) for prefix in _PREFIXES}
+    def __init__(self, store: Store, with_quota: bool = False) -> None:
+        """``with_quota``: this is one cell of several, and has shares of teams' limits."""
+        prefixes = (*_PREFIXES, QUOTA) if with_quota else _PREFIXES
+        self._readers = {prefix: PrefixReader(store, prefix) for prefix in prefixes}
 
     def read(self) -> Snapshot:
         """Read what is left; behind an error, call it again to go on."""
@@ -61,6 +66,7 @@
             {prefix: self._records(prefix) for prefix in (DONE_TASKS, DONE_STRETCHES)},
             self._records(HIRE),
             self._records(MACHINE),
+            self._readers[QUOTA].entries if QUOTA in self._readers else (),
         )
 
     def _records(self, prefix: str) -> dict[str, Data]:
--- a/src/poppyhold/durable/store.py
+++ b/src/poppyhold/durable/store.py
@@ -28,6 +28,8 @@
 DONE_STRETCHES = ROOT + "e/"
 HIRE = ROOT + "h/"
 MACHINE = ROOT + "m/"
+# Shares of limits of a cell among several; without others there are none.
+QUOTA = ROOT + "q/"
 # No key ever begins so.
 NO_KEYS = ROOT + "none/"
 
--- a/src/poppyhold/node/controller.py
+++ b/src/poppyhold/node/controller.py
@@ -23,9 +23,10 @@
     make_job,
 )
 from poppyhold.options import Options
+from poppyhold.quota.cell_quota import CellQuota
 from poppyhold.scheduling.admission import Admission
 from poppyhold.scheduling.dispatch import Dispatcher
-from poppyhold.scheduling.placement import Quotas
+from poppyhold.scheduling.quotas import Quotas
 from poppyhold.settings import Settings
 from poppyhold.wire.messages import (
     Listing,
@@ -61,13 +62,14 @@
         self.ctx.most_hastened = connections * options.relays.from_share
         self.ctx.quiet_pace = connections * _QUIET_SHARE
         self._quotas = Quotas(settings.settings.teams)
+        self._guarantees_stale = True
         self.failures = Failures(times, clock, self._judged)
         self.attempts = Attempts(self.ctx, self._task_done, self._attempt_over, self._task_ran, self.failures)
         self.admission = Admission(self.ctx, self._quotas, lambda job: self.job_removed(ACTIVE + job.id))
         self.dispatcher = Dispatcher(self.ctx, self.attempts, self._quotas, self.admission)
         self.hiring = Hiring(self.ctx, self.attempts, self._quotas, self._machine_gone)
         self.completions = Completions(self.ctx)
-        self._guarantees_stale = True
+        self.quota = self._make_quota(options)
         self._flush_at = 0.0
         # Jobs that were over before we heard of them. A cancellation may overtake the submission, in our own
         # queue or because another controller told of it: the job must not come into being behind it.
@@ -75,6 +77,22 @@
         # Before this moment no pass is made over what waits.
         self.settle_at = float("-inf")
 
+    def _make_quota(self, options: Options) -> CellQuota | None:
+        """This cell's shares of the teams' limits; None where the fleet is one cell."""
+        if options.cells is None:
+            return None
+        return CellQuota(
+            self.ctx,
+            options.cells,
+            self._quotas,
+            lambda: self.ctx.fleet.unknown_use(self.attempts.unheard),
+            self.hiring.can_rent,
+            self._quotas_changed,
+        )
+
+    def _quotas_changed(self) -> None:
+        self._guarantees_stale = self.ctx.dirty = True
+
     # -- the beginning of a term ---------------------------------------------------------------------
 
     def load(
@@ -87,8 +105,9 @@
         ctx = self.ctx
         ctx.hints = hints or {}
         now = ctx.clock()
-        for machine_type in machine_types:
-            ctx.machine_types[machine_type.name] = machine_type
+        if self.quota is not None:
+            self.quota.load(snapshot.quota)
+        self.machine_types(machine_types)
         for name, data in snapshot.machines.items():
             self._load_machine(name, data, now)
         for name, data in snapshot.hires.items():
@@ -203,6 +222,8 @@
             self._flush_at = now + self.ctx.times.report_s / 2
             self.completions.save()
         self.hiring.provide()
+        if self.quota is not None:
+            self.quota.tick()
         self.ctx.dirty = True
 
     def settle(self) -> None:
--- a/src/poppyhold/node/leader_term.py
+++ b/src/poppyhold/node/leader_term.py
@@ -27,6 +27,10 @@
 from poppyhold.node.users import Users
 from poppyhold.node.workers import Done, Senders
 from poppyhold.options import Options
+from poppyhold.quota.link import CellLinks
+from poppyhold.quota.messages import Answer as QuotaAnswer
+from poppyhold.quota.messages import Opening as QuotaOpening
+from poppyhold.quota.messages import ShareReply, ShareRequest, StatusReply, StatusRequest
 from poppyhold.relay.assignment import Assignment
 from poppyhold.relay.leader import RelayServer
 from poppyhold.settings import Settings
@@ -99,6 +103,14 @@
         self.relays = RelayServer(
             self._post, self.answer_report, self.controller.answered_at, self._assignment, workers
         )
+        cells = node.options.cells
+        self._cell_links = (
+            CellLinks(cells.others, self._on_share_reply, workers.report_s, workers.lease_s / 10, node.rng)
+            if cells is not None
+            else None
+        )
+        # What `/ready` says of shares, as of the last tick.
+        self.quota_status: StatusReply | None = None
         self._tick_s = node.settings.settings.workers.report_s / 4
         self._ready = threading.Event()
         self._thread = threading.Thread(target=self._run, name="decisions", daemon=True)
@@ -140,6 +152,12 @@
             time.monotonic() - read_at,
         )
         self._ready.set()
+        if self._cell_links is not None:
+            self._cell_links.start()
+        self._decide()
+
+    def _decide(self) -> None:
+        """Take events by rank until the term is over."""
         tick_at = time.monotonic()
         while self.alive:
             now = time.monotonic()
@@ -151,20 +169,28 @@
                 if work is not None:
                     work()
                 if time.monotonic() >= tick_at:
-                    self.controller.tick()
-                    self._ask_ourselves()
-                    self._counts = self.controller.counts()
-                    self._hints = self.controller.hints()
-                    self.relays.review(self.controller.ctx.fleet.machines.keys())
-                    self._vouch()
+                    self._tick()
                     tick_at = time.monotonic() + self._tick_s
                 if not len(self._queue):
                     self.controller.settle()
+                if self._cell_links is not None and self.controller.quota is not None:
+                    self._cell_links.publish(self.controller.quota.requests())
             except Exception:
                 log.exception("decision")
 
+    def _tick(self) -> None:
+        """What time alone brings about, and what other threads read of it."""
+        self.controller.tick()
+        self._ask_ourselves()
+        self._counts = self.controller.counts()
+        self._hints = self.controller.hints()
+        self.relays.review(self.controller.ctx.fleet.machines.keys())
+        self._vouch()
+        if self.controller.quota is not None:
+            self.quota_status = self.controller.quota.status()
+
     def _read(self) -> Snapshot:
-        reader = SnapshotReader(self._node.store)
+        reader = SnapshotReader(self._node.store, with_quota=self._node.options.cells is not None)
         while self.alive:
             try:
                 return reader.read()
@@ -233,6 +259,8 @@
         self._committer.stop()
         self._senders.stop()
         self.relays.close()
+        if self._cell_links is not None:
+            self._cell_links.stop()
         if self._cloud is not None:
             self._cloud.stop()
         if self._watch is not None:
@@ -241,6 +269,33 @@
         for work in self._queue.close():
             work()
 
+    # -- other cells ---------------------------------------------------------------------------------
+
+    def _on_share_reply(self, reply: ShareReply) -> None:
+        """A link got an answer from another cell; reports and decisions go first."""
+        quota = self.controller.quota
+        if quota is not None:
+            self._post(SUBMISSIONS, lambda: quota.replied(reply))
+
+    def answer_cell(self, message: QuotaOpening, timeout_s: float) -> QuotaAnswer | None:
+        """Have the decision thread answer another cell's leader or an operator; None: not in time."""
+        quota = self.controller.quota
+        if quota is None or not self._ready.is_set():
+            return None
+        answers: list[QuotaAnswer] = []
+        answered = threading.Event()
+
+        def work() -> None:
+            if self.alive and isinstance(message, StatusRequest):
+                answers.append(quota.status())
+            elif self.alive and isinstance(message, ShareRequest):
+                answers.append(quota.answer(message))
+            answered.set()
+
+        if self._post(SUBMISSIONS, work):
+            answered.wait(timeout_s)
+        return answers[0] if answers else None
+
     # -- reports -------------------------------------------------------------------------------------
 
     def handle_report(self, report: Report, timeout: float) -> Deferred | None:
--- a/src/poppyhold/node/service.py
+++ b/src/poppyhold/node/service.py
@@ -26,6 +26,7 @@
 from poppyhold.node.leader_term import LeaderTerm
 from poppyhold.node.users import Users
 from poppyhold.options import Options
+from poppyhold.quota.server import QuotaServer
 from poppyhold.relay.forwarding import ReportForwarding
 from poppyhold.relay.leader import report_patience_s
 from poppyhold.relay.messages import RelayHello
@@ -64,6 +65,9 @@
         self.election = Election(
             settings, options, self.store, self._elected, self._deposed, self._yields, self.rng
         )
+        self._quota_server = QuotaServer(
+            settings, options.cells, lambda: self._leader_term, lambda: self.election.leader
+        )
         self.peers = Peers(
             settings,
             self._describe,
@@ -74,6 +78,8 @@
             self._refused,
             self._proxies,
             self._serve_relay,
+            self._quota_server.answer,
+            self._quota_server.most_links,
         )
         workers = settings.settings.workers
         self.lease_proxy = LeaseProxy(self._times, self.skew_s, time.monotonic, time.time)
@@ -359,7 +365,11 @@
         behind = any(view.contact_at - ours > self._ready_s for view in self.peers.views.values())
         if not self.machine_types or behind:
             return answer(503, {"error": "not ready"}, Retry_After="1")
-        return answer(200, {"member": self.settings.member})
+        body: dict[str, object] = {"member": self.settings.member}
+        status = leader_term.quota_status if (leader_term := self._leader_term) is not None else None
+        if status is not None:
+            body["shares"] = {"alarms": status.own.alarms, "short": status.short}
+        return answer(200, body)
 
     def _handle_report(self, body: bytes) -> Answer | Deferred:
         try:
--- a/src/poppyhold/options.py
+++ b/src/poppyhold/options.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import msgspec
 
+from poppyhold.quota.cells import Cell, CellController, Cells, check_cells
 from poppyhold.relay.mode import RelayMode
 from poppyhold.settings import ConfigError
 
+if TYPE_CHECKING:
+    from poppyhold.options_pb2 import Cells as CellsMessage
+
 
 class Design(msgspec.Struct, frozen=True):
     """How room is priced and planned."""
@@ -61,6 +66,8 @@
     provisioning: Provisioning = Provisioning()
     relays: Relays = Relays()
     fleet: Fleet = Fleet()
+    # None: the fleet is one cell, and nothing of `quota` runs.
+    cells: Cells | None = None
 
 
 # Field, lowest and highest value that make sense.
@@ -82,6 +89,8 @@
     "provisioning.give_up_boots": (1.5, 100.0),
     "relays.from_share": (0.01, 1000.0),
     "fleet.machines": (0, 100_000),
+    "cells.keep_leases": (0.1, 1000.0),
+    "cells.moves_share": (0.001, 0.5),
 }
 
 
@@ -114,7 +123,26 @@
     if message.relays.HasField("mode"):
         mode = RelaysMessage.Mode.Name(message.relays.mode)
         values.setdefault("relays", {})["mode"] = mode.lower()
-    return msgspec.convert(values, Options)
+    cells = values.pop("cells", {})
+    options = msgspec.convert(values, Options)
+    if message.HasField("cells"):
+        options = msgspec.structs.replace(options, cells=_cells(message.cells, cells))
+    return options
+
+
+def _cells(section: CellsMessage, bounded: dict[str, float | str]) -> Cells:
+    """The section of cells; ``bounded`` are the figures that were checked before."""
+    others = tuple(
+        Cell(
+            other.name,
+            other.part,
+            tuple(CellController(each.member, each.address) for each in other.controllers),
+        )
+        for other in section.others
+    )
+    return check_cells(
+        msgspec.convert({"name": section.name, "part": section.part, "others": others, **bounded}, Cells)
+    )
 
 
 def load_options(path: str | Path | None) -> Options:
--- /dev/null
+++ b/src/poppyhold/quota/cell_quota.py
@@ -0,0 +1,379 @@
+"""A cell's part in the teams' limits, for one term of its leader.
+
+It runs on the decision thread and does no I/O. It keeps what starts are planned against in step with the
+cell's shares (`share_book`), tells other cells what is wanted here, and gives them what is idle. It waits
+for no cell: without the others it goes on with what it has.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from poppyhold.concurrency.pace import Pace
+from poppyhold.durable.store import Data, Entry
+from poppyhold.model.context import CommitRank, Context
+from poppyhold.model.fleet import Room
+from poppyhold.quota.alarms import AlarmKind, Alarms
+from poppyhold.quota.amounts import (
+    ResourceAmount,
+    TeamAmount,
+    TeamShare,
+    is_shared,
+    seed,
+    to_units,
+    whole_share,
+)
+from poppyhold.quota.cells import Cells
+from poppyhold.quota.demand import DemandMonitor, TeamDemand
+from poppyhold.quota.messages import (
+    PROTOCOL_VERSION,
+    CellView,
+    HeardView,
+    PeerView,
+    ShareReply,
+    ShareRequest,
+    StatusReply,
+    TeamView,
+    Want,
+)
+from poppyhold.quota.share_book import (
+    OtherCellError,
+    ProtocolError,
+    ShareBook,
+    UnknownIncarnationError,
+)
+from poppyhold.scheduling.quotas import Quotas
+from poppyhold.wire.messages import Submission
+
+log = logging.getLogger(__name__)
+
+# Changes of a move: the giver's share and its note of the transfer, and that note's removal.
+_CHANGES_A_MOVE = 3
+# Teams that a request names at the most: the next one names the rest.
+_MOST_WANTS = 64
+
+
+class _Heard(NamedTuple):
+    """What another cell said last, and when."""
+
+    view: CellView
+    at: float
+
+
+class CellQuota:
+    """Shares, requests and answers of the cell that we lead."""
+
+    def __init__(
+        self,
+        ctx: Context,
+        cells: Cells,
+        quotas: Quotas,
+        unknown_use: Callable[[], Room],
+        can_rent: Callable[[Submission], bool],
+        on_changed: Callable[[], None],
+    ) -> None:
+        """``on_changed`` hears that what starts are planned against has changed."""
+        self._ctx, self._cells, self._quotas, self._on_changed = ctx, cells, quotas, on_changed
+        self._wholes = {
+            team.name: whole for team in ctx.settings.settings.teams if is_shared(whole := whole_share(team))
+        }
+        weights = cells.weights
+        self._seeds = {
+            team: (seed(whole, weights, cells.name), whole) for team, whole in self._wholes.items()
+        }
+        self.book = ShareBook(
+            cells.name, self._new_incarnation, self._commit, self._in_force, ctx.edges.resign
+        )
+        keep_s = ctx.times.lease_s * cells.keep_leases
+        self._monitor = DemandMonitor(ctx, keep_s, unknown_use, can_rent)
+        limits = ctx.settings.settings.state.lowest
+        self._seeds_at_once = max(1, limits.txn_ops // 2)
+        self._pace = Pace(limits.write_rps * cells.moves_share / _CHANGES_A_MOVE, burst=1.0)
+        self._demands: dict[str, TeamDemand] = {}
+        self._heard: dict[str, _Heard] = {}
+        self._short_since: dict[str, float] = {}
+        self._requests: dict[str, ShareRequest] = {}
+        self.alarms = Alarms()
+        # Before they are known, shares let nothing start.
+        for team, whole in self._wholes.items():
+            quotas.set(team, whole.nothing().quota(whole))
+
+    def _new_incarnation(self) -> str:
+        return f"{self._ctx.rng.getrandbits(64):016x}"
+
+    def _commit(self, conditions: dict[str, int], writes: list[Data], done: Callable[[bool], None]) -> None:
+        def durable(result: bool) -> None:
+            done(result)
+            # Other cells wait to hear of it.
+            self._prepare_requests()
+
+        self._ctx.edges.commit(conditions, writes, durable, CommitRank.AWAITED)
+
+    def _in_force(self, team: str) -> None:
+        """Plan starts against a team's share from now on."""
+        record = self.book.records[team]
+        self._quotas.set(team, record.share.quota(record.whole))
+        self._on_changed()
+
+    # -- events ----------------------------------------------------------------------------------------
+
+    def load(self, entries: Iterable[Entry]) -> None:
+        """Begin with what earlier leaders made durable."""
+        self.book.load(entries)
+        for team in self.differing():
+            log.warning("team %s: the settings differ from its share's record, which holds", team)
+
+    def tick(self) -> None:
+        """What time alone brings about."""
+        if self._is_other_cell() or self.book.seed(self._seeds, self._seeds_at_once):
+            return
+        shares = {team: record.share for team, record in self.book.records.items()}
+        self._demands = self._monitor.look(shares)
+        self._check_use()
+        self._prepare_requests()
+
+    def answer(self, request: ShareRequest) -> ShareReply:
+        """Answer another cell's leader, and begin to give it what it wants and is idle here."""
+        refused = self._refusal(request)
+        if not refused:
+            refused = self._guarded(request.cell, lambda: self._serve(request))
+        transfer = None if refused else self.book.transfer_to(request.cell)
+        view = self._view()
+        return ShareReply(self._cells.name, self.book.incarnation, transfer, self.book.busy, view, refused)
+
+    def replied(self, reply: ShareReply) -> None:
+        """Take another cell's answer."""
+        if reply.refused:
+            log.debug("cell %s refuses: %s", reply.cell, reply.refused)
+        self._note_view(reply.cell, reply.view)
+        self._guarded(reply.cell, lambda: self._take(reply))
+        self._prepare_requests()
+
+    def requests(self) -> dict[str, ShareRequest]:
+        """What to ask each other cell now; the same objects for as long as nothing changes."""
+        return self._requests
+
+    # -- messages --------------------------------------------------------------------------------------
+
+    def _is_other_cell(self) -> bool:
+        """Whether the records here are another cell's: then nothing moves, and no share is in force."""
+        try:
+            self.book.check_identity()
+        except OtherCellError as error:
+            self.alarms.set(AlarmKind.OTHER_CELL, self._cells.name, str(error))
+            for team, whole in self._wholes.items():
+                self._quotas.set(team, whole.nothing().quota(whole))
+            return True
+        return False
+
+    def _refusal(self, request: ShareRequest) -> str:
+        """Why a request can't be served at all; empty if it can."""
+        differ = request.layout != self._cells.layout
+        text = "its operators name other cells or parts" if differ else None
+        self.alarms.set(AlarmKind.CELLS_DIFFER, request.cell, text)
+        if differ:
+            return "the cells and their parts differ"
+        if not self.book.incarnation or self._is_other_cell():
+            return "no shares are known here"
+        if request.to_incarnation not in ("", self.book.incarnation):
+            return "other records are meant than those that are here"
+        return ""
+
+    def _guarded(self, cell: str, work: Callable[[], None]) -> str:
+        """Do what a message asks for; what can't be raises an alarm, and is returned as a text."""
+        try:
+            work()
+        except UnknownIncarnationError as error:
+            self.alarms.set(AlarmKind.UNKNOWN_RECORDS, cell, str(error))
+            return str(error)
+        except ProtocolError as error:
+            self.alarms.set(AlarmKind.BROKEN_SEQUENCE, cell, str(error))
+            return str(error)
+        self.alarms.set(AlarmKind.UNKNOWN_RECORDS, cell, None)
+        self.alarms.set(AlarmKind.BROKEN_SEQUENCE, cell, None)
+        return ""
+
+    def _serve(self, request: ShareRequest) -> None:
+        self.book.check_peer(request.cell, request.incarnation)
+        self._note_view(request.cell, request.view)
+        self.book.acknowledged(request.cell, request.incarnation, request.applied)
+        now = self._ctx.clock()
+        if self.book.busy or self._pace.ready_at() > now:
+            return
+        for want in sorted(request.wants, key=lambda want: not want.is_guaranteed):
+            amount = self._offer(want, request.cell)
+            if self.book.give(request.cell, request.incarnation, want.team, amount):
+                self._pace.spend(1.0, now)
+                log.info("team %s: gives %s to cell %s", want.team, _in_words(amount), request.cell)
+                return
+
+    def _take(self, reply: ShareReply) -> None:
+        if not reply.incarnation:
+            return
+        self.book.check_peer(reply.cell, reply.incarnation)
+        if reply.transfer is not None and self.book.receive(reply.cell, reply.incarnation, reply.transfer):
+            amount = _in_words(reply.transfer.amount)
+            log.info("team %s: takes %s from cell %s", reply.transfer.team, amount, reply.cell)
+
+    def _note_view(self, cell: str, view: CellView | None) -> None:
+        if view is not None:
+            self._heard[cell] = _Heard(view, self._ctx.clock())
+
+    # -- giving ----------------------------------------------------------------------------------------
+
+    def _offer(self, want: Want, cell: str) -> TeamAmount:
+        """The part of what a cell wants that is idle here, by what runs and waits at this very moment."""
+        share, demand = self.book.share(want.team), self._demands.get(want.team)
+        if share is None or demand is None:
+            return TeamAmount()
+        demand.cpus.may_run, demand.accelerators.may_run = self._monitor.may_still_run(want.team)
+        cpus, accelerators = _spare(share, demand, demand.is_stuck and cell < self._cells.name)
+        return TeamAmount(
+            _part(cpus, want.cpus_guaranteed, want.cpus_limit),
+            _part(accelerators, want.accelerators_guaranteed, want.accelerators_limit),
+        )
+
+    # -- asking ----------------------------------------------------------------------------------------
+
+    def _prepare_requests(self) -> None:
+        """Ask each cell for what it can spare of what is wanted here."""
+        if not self.book.incarnation:
+            return
+        wants = self._wants()
+        view = self._view()
+        requests = {}
+        for cell in self._cells.others:
+            peer = self.book.peers.get(cell.name)
+            requests[cell.name] = ShareRequest(
+                PROTOCOL_VERSION,
+                self._cells.name,
+                cell.name,
+                self._cells.layout,
+                self.book.incarnation,
+                peer.incarnation if peer is not None else "",
+                self.book.applied(cell.name),
+                wants.get(cell.name, [])[:_MOST_WANTS],
+                view,
+            )
+        self._requests = requests
+
+    def _wants(self) -> dict[str, list[Want]]:
+        """What to ask each cell for: of every team first the cells that can spare the most."""
+        now = self._ctx.clock()
+        wants: dict[str, list[Want]] = {}
+        short: dict[str, float] = {}
+        for team, record in self.book.records.items():
+            demand = self._demands.get(team)
+            want = demand.want(team, record.share, record.whole) if demand is not None else None
+            if want is None:
+                continue
+            short[team] = self._short_since.get(team, now)
+            for cell, part in self._dealt(want):
+                wants.setdefault(cell, []).append(part)
+        self._short_since = short
+        return wants
+
+    def _dealt(self, want: Want) -> list[tuple[str, Want]]:
+        """A want dealt out to the cells that could spare some of it when they were last heard."""
+        spares = []
+        for cell, heard in self._heard.items():
+            view = next((team for team in heard.view.teams if team.team == want.team), None)
+            if view is not None and (view.cpus_spare.limit or view.accelerators_spare.limit):
+                spares.append((cell, view))
+        spares.sort(key=lambda pair: (-pair[1].accelerators_spare.limit, -pair[1].cpus_spare.limit, pair[0]))
+        dealt = []
+        for cell, view in spares:
+            dealt.append((cell, want))
+            want = Want(
+                want.team,
+                max(0, want.cpus_guaranteed - view.cpus_spare.guaranteed),
+                max(0, want.cpus_limit - view.cpus_spare.limit),
+                max(0, want.accelerators_guaranteed - view.accelerators_spare.guaranteed),
+                max(0, want.accelerators_limit - view.accelerators_spare.limit),
+            )
+            if not (want.is_guaranteed or want.cpus_limit or want.accelerators_limit):
+                break
+        return dealt
+
+    # -- what operators see ----------------------------------------------------------------------------
+
+    def _check_use(self) -> None:
+        """More in use than the share can only come from a version, or a file, that knows of no shares."""
+        for team, record in self.book.records.items():
+            used = self._ctx.fleet.used.get(team, [0.0, 0.0])
+            above = [
+                f"{name} {amount:g} of {part.limit / 1000:g}"
+                for name, amount, part in zip(
+                    ("cpus", "accelerators"),
+                    used,
+                    (record.share.cpus, record.share.accelerators),
+                    strict=True,
+                )
+                if part.limit is not None and to_units(amount) > part.limit
+            ]
+            self.alarms.set(AlarmKind.USE_ABOVE_SHARE, team, ", ".join(above) or None)
+
+    def differing(self) -> list[str]:
+        """Teams whose settings are not those that their shares were made from; the records hold."""
+        records = self.book.records
+        return sorted(team for team, record in records.items() if self._wholes.get(team) != record.whole)
+
+    def short(self) -> list[str]:
+        """Teams whose work has waited for a larger share for more than a lease."""
+        now = self._ctx.clock()
+        return sorted(
+            team for team, since in self._short_since.items() if now - since > self._ctx.times.lease_s
+        )
+
+    def status(self) -> StatusReply:
+        """All that this cell's leader knows."""
+        now = self._ctx.clock()
+        names = [cell.name for cell in self._cells.others]
+        heard = [
+            HeardView(self._heard[name].view, now - self._heard[name].at)
+            for name in names
+            if name in self._heard
+        ]
+        unheard = [name for name in names if name not in self._heard]
+        return StatusReply(self._view(), heard, unheard, self.short(), self.differing())
+
+    def _view(self) -> CellView:
+        teams = []
+        for team, record in self.book.records.items():
+            demand = self._demands.get(team)
+            used = self._ctx.fleet.used.get(team, [0.0, 0.0])
+            cpus, accelerators = (
+                _spare(record.share, demand, demand.is_stuck)
+                if demand is not None
+                else (ResourceAmount(), ResourceAmount())
+            )
+            amounts = to_units(used[0]), to_units(used[1])
+            teams.append(TeamView(team, record.share, record.whole, *amounts, cpus, accelerators))
+        peers = [
+            PeerView(cell, peer.sent, peer.applied, peer.in_transit) for cell, peer in self.book.peers.items()
+        ]
+        return CellView(self._cells.name, self.book.incarnation, teams, peers, self.alarms.texts())
+
+
+def _spare(share: TeamShare, demand: TeamDemand, is_stuck: bool) -> tuple[ResourceAmount, ResourceAmount]:
+    return (
+        demand.cpus.spare(share.cpus, is_stuck),
+        demand.accelerators.spare(share.accelerators, is_stuck),
+    )
+
+
+def _part(spare: ResourceAmount, guaranteed: int, limit: int) -> ResourceAmount:
+    """The part of a spare amount that is wanted: guaranteed first, then what is borrowable."""
+    given = min(spare.guaranteed, max(0, guaranteed))
+    rest = max(0, limit - given)
+    borrowable = min(spare.borrowable, rest)
+    # The limit may be guaranteed as a whole: then the guarantee goes with it.
+    given += min(spare.guaranteed - given, rest - borrowable)
+    return ResourceAmount(given, borrowable)
+
+
+def _in_words(amount: TeamAmount) -> str:
+    cpus, accelerators = amount.cpus.limit / 1000, amount.accelerators.limit / 1000
+    return f"{accelerators:g} accelerators and {cpus:g} CPUs"
--- /dev/null
+++ b/src/poppyhold/quota/demand.py
@@ -0,0 +1,209 @@
+"""What a cell could use of its teams' limits beyond its shares, and what it keeps of them for itself."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+
+import msgspec
+
+from poppyhold.model.context import Context
+from poppyhold.model.fleet import Job, Room, allowed_machine_types, how_many
+from poppyhold.quota.amounts import ResourceAmount, ResourceShare, TeamShare, to_units
+from poppyhold.quota.messages import Want
+from poppyhold.scheduling.placement import may_use
+from poppyhold.wire.messages import Submission
+
+
+class RecentPeak:
+    """The highest value of late: of the window that runs and of the one before it."""
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._began_at = float("-inf")
+        self._before = self._now = 0
+
+    def note(self, value: int, now: float) -> int:
+        """Take a value and return the peak."""
+        passed = now - self._began_at
+        if passed >= self._window_s:
+            self._before = self._now if passed < 2 * self._window_s else 0
+            self._now = 0
+            self._began_at = now
+        self._now = max(self._now, value)
+        return max(self._now, self._before)
+
+
+class ResourceDemand(msgspec.Struct):
+    """One resource of one team, in thousandths."""
+
+    # What runs for all that is known, and all that may run, unheard machines included.
+    used: int = 0
+    may_run: int = 0
+    # What waits and some machine type fits; and of that, what fits machines that are held or can be rented.
+    waiting: int = 0
+    startable: int = 0
+    # The most that was in use of late.
+    peak: int = 0
+
+    def kept(self, is_stuck: bool) -> int:
+        """What the cell keeps for itself of the team's share."""
+        return max(self.may_run if is_stuck else self.may_run + self.waiting, self.peak)
+
+    def spare(self, share: ResourceShare, is_stuck: bool) -> ResourceAmount:
+        """What can be given away of a share."""
+        kept = self.kept(is_stuck)
+        idle = math.inf if share.limit is None else max(0, share.limit - kept)
+        guaranteed = int(min(max(0, share.guaranteed - kept), idle))
+        return ResourceAmount(guaranteed, int(min(share.borrowable or 0, idle - guaranteed)))
+
+    def missing(self, share: ResourceShare, whole: ResourceShare) -> ResourceAmount:
+        """What of the guarantee, and of the limit in all, the waiting work lacks; as an amount of both."""
+        guaranteed = min(self.used + self.waiting, whole.guaranteed) - share.guaranteed
+        limit = 0 if share.limit is None else self.used + self.startable - share.limit
+        return ResourceAmount(
+            max(0, guaranteed) if self.waiting else 0, max(0, limit) if self.startable else 0
+        )
+
+
+class TeamDemand(msgspec.Struct):
+    """Both resources of one team."""
+
+    cpus: ResourceDemand = msgspec.field(default_factory=ResourceDemand)
+    accelerators: ResourceDemand = msgspec.field(default_factory=ResourceDemand)
+    # Work waits though there is a share for some of it, as for a gang that needs more than there is.
+    is_stuck: bool = False
+
+    def want(self, team: str, share: TeamShare, whole: TeamShare) -> Want | None:
+        """What to ask other cells for; None: nothing."""
+        cpus = self.cpus.missing(share.cpus, whole.cpus)
+        accelerators = self.accelerators.missing(share.accelerators, whole.accelerators)
+        if not (cpus.limit or accelerators.limit):
+            return None
+        return Want(team, cpus.guaranteed, cpus.borrowable, accelerators.guaranteed, accelerators.borrowable)
+
+
+class _Progress(msgspec.Struct):
+    """Since when a team's work waits beside an idle share without a start."""
+
+    used: float
+    since: float
+
+
+class DemandMonitor:
+    """Looks at what runs and waits, team by team."""
+
+    def __init__(
+        self,
+        ctx: Context,
+        keep_s: float,
+        unknown_use: Callable[[], Room],
+        can_rent: Callable[[Submission], bool],
+    ) -> None:
+        """``unknown_use`` is what machines that were not heard may run; it counts for every team."""
+        self._ctx, self._keep_s = ctx, keep_s
+        self._unknown_use, self._can_rent = unknown_use, can_rent
+        self._peaks: dict[str, tuple[RecentPeak, RecentPeak]] = {}
+        self._progress: dict[str, _Progress] = {}
+
+    def may_still_run(self, team: str) -> tuple[int, int]:
+        """CPUs and accelerators that the team's tasks may use now, the unheard machines' included."""
+        used = self._ctx.fleet.used.get(team, [0.0, 0.0])
+        unknown = self._unknown_use()
+        return to_units(used[0] + unknown[0]), to_units(used[1] + unknown[1])
+
+    def look(self, teams: dict[str, TeamShare]) -> dict[str, TeamDemand]:
+        """The demand of every team that has a share."""
+        now = self._ctx.clock()
+        demands = {team: TeamDemand() for team in teams}
+        for team, demand in demands.items():
+            demand.cpus.may_run, demand.accelerators.may_run = self.may_still_run(team)
+            self._note_use(team, demand, now)
+        self._add_waiting(demands)
+        for team, demand in demands.items():
+            demand.is_stuck = self._is_stuck(team, demand, teams[team], now)
+        return demands
+
+    def _note_use(self, team: str, demand: TeamDemand, now: float) -> None:
+        if team not in self._peaks:
+            self._peaks[team] = RecentPeak(self._keep_s / 2), RecentPeak(self._keep_s / 2)
+        used = self._ctx.fleet.used.get(team, [0.0, 0.0])
+        cpus, accelerators = self._peaks[team]
+        demand.cpus.used, demand.accelerators.used = to_units(used[0]), to_units(used[1])
+        demand.cpus.peak = cpus.note(demand.cpus.used, now)
+        demand.accelerators.peak = accelerators.note(demand.accelerators.used, now)
+
+    def _add_waiting(self, demands: dict[str, TeamDemand]) -> None:
+        rooms = _Rooms(self._ctx, self._can_rent)
+        jobs = self._ctx.fleet.jobs.values()
+        for job in sorted(jobs, key=lambda job: (job.rank, job.at)):
+            demand = demands.get(job.spec.team)
+            if demand is None or job.pending <= 0 or job.over or job.finishing or job.failures.at_fault:
+                continue
+            tasks = job.startable(job.pending)
+            if not tasks or not rooms.ever_fits(job):
+                continue
+            startable = rooms.take(job, tasks)
+            demand.cpus.waiting += to_units(job.need[0] * tasks)
+            demand.cpus.startable += to_units(job.need[0] * startable)
+            demand.accelerators.waiting += to_units(job.need[1] * tasks)
+            demand.accelerators.startable += to_units(job.need[1] * startable)
+
+    def _is_stuck(self, team: str, demand: TeamDemand, share: TeamShare, now: float) -> bool:
+        """Whether work has waited for a while beside an idle share: others may use that.
+
+        Two cells that each hold half of what a gang needs would otherwise keep their halves for ever.
+        """
+        used = sum(self._ctx.fleet.used.get(team, [0.0, 0.0]))
+        progress = self._progress.setdefault(team, _Progress(used, now))
+        limit = share.accelerators.limit
+        idle = limit is not None and limit > demand.accelerators.may_run
+        if not (demand.accelerators.waiting and idle) or used != progress.used:
+            progress.used, progress.since = used, now
+        return now - progress.since > self._keep_s
+
+
+class _Rooms:
+    """Room for waiting tasks: on machines that are held, else on those that can be rented."""
+
+    def __init__(self, ctx: Context, can_rent: Callable[[Submission], bool]) -> None:
+        self._ctx, self._can_rent = ctx, can_rent
+        self._fits: dict[tuple[object, ...], bool] = {}
+        self._left: dict[tuple[object, ...], int] = {}
+
+    @staticmethod
+    def _kind(job: Job) -> tuple[object, ...]:
+        types = job.spec.machine_types
+        return job.need, None if types is None else tuple(types), job.spec.zone, job.spec.spot
+
+    def ever_fits(self, job: Job) -> bool:
+        """Whether some machine type fits."""
+        kind = self._kind(job)
+        if kind not in self._fits:
+            self._fits[kind] = bool(allowed_machine_types(job.spec, self._ctx.machine_types.values()))
+        return self._fits[kind]
+
+    def take(self, job: Job, tasks: int) -> int:
+        """How many of so many tasks have room; those of a gang all or none."""
+        kind = self._kind(job)
+        if kind not in self._left:
+            self._left[kind] = self._count(job)
+        found = min(tasks, self._left[kind])
+        if found < tasks and self._can_rent(job.spec):
+            found = tasks
+        elif job.gang and found < tasks:
+            return 0
+        self._left[kind] -= min(found, self._left[kind])
+        return found
+
+    def _count(self, job: Job) -> int:
+        """Tasks that held machines have room for, a bounded number."""
+        count, most = 0, self._ctx.settings.settings.machine_limits.machines
+        for machine in self._ctx.fleet.machines.values():
+            gone = machine.leaving or machine.draining or machine.deleting
+            if gone or machine.taken_back_at is not None or not may_use(job, machine):
+                continue
+            count += how_many(job.need, machine.free, most - count)
+            if count >= most:
+                break
+        return count
--- /dev/null
+++ b/src/poppyhold/quota/records.py
@@ -0,0 +1,60 @@
+"""The durable records of a cell's shares. Stored names are only added to, with defaults."""
+
+from __future__ import annotations
+
+from urllib.parse import quote
+
+import msgspec
+
+from poppyhold.durable.store import QUOTA
+from poppyhold.quota.amounts import TeamAmount, TeamShare
+
+# One record: which cell this is, and the incarnation of its records.
+IDENTITY = QUOTA + "i"
+# A record for each team.
+SHARE = QUOTA + "s/"
+# A record for each other cell.
+PEER = QUOTA + "c/"
+
+
+class IdentityRecord(msgspec.Struct, frozen=True):
+    """Whose records these are; the incarnation is drawn when they are made."""
+
+    cell: str = msgspec.field(name="c")
+    incarnation: str = msgspec.field(name="i")
+
+
+class ShareRecord(msgspec.Struct, frozen=True):
+    """A team's share in this cell."""
+
+    team: str = msgspec.field(name="t")
+    share: TeamShare = msgspec.field(name="s")
+    # What the team had over all cells as this was seeded.
+    whole: TeamShare = msgspec.field(name="w")
+    # Rises with each change.
+    version: int = msgspec.field(name="v", default=0)
+
+
+class Transfer(msgspec.Struct, frozen=True, array_like=True):
+    """A part of a team's share on its way to another cell. Those to one cell are numbered in sequence."""
+
+    number: int
+    team: str
+    amount: TeamAmount
+
+
+class PeerRecord(msgspec.Struct, frozen=True):
+    """What passed between this cell and another one."""
+
+    # The incarnation of the other cell's records that it passed between.
+    incarnation: str = msgspec.field(name="i")
+    # The number of the last transfer to it, and that transfer until the other cell has applied it.
+    sent: int = msgspec.field(name="s", default=0)
+    in_transit: Transfer | None = msgspec.field(name="t", default=None)
+    # The number of the last transfer from it that was applied here.
+    applied: int = msgspec.field(name="a", default=0)
+
+
+def share_key(team: str) -> str:
+    """The key of a team's share; keys hold no spaces."""
+    return SHARE + quote(team, safe="")
--- /dev/null
+++ b/src/poppyhold/quota/totals.py
@@ -0,0 +1,86 @@
+"""Whether the shares of all cells, and what is on its way between them, add up to what the teams have."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from poppyhold.quota.amounts import ResourceAmount, ResourceShare, TeamShare
+from poppyhold.quota.messages import CellView, PeerView
+from poppyhold.quota.records import Transfer
+
+# Name of each resource, as settings and tables have it.
+RESOURCES = ("cpus", "gpus")
+
+
+def parts_of(share: TeamShare) -> tuple[ResourceShare, ResourceShare]:
+    """Both resources of a share, in the order of `RESOURCES`."""
+    return share.cpus, share.accelerators
+
+
+def amounts_of(transfer: Transfer) -> tuple[ResourceAmount, ResourceAmount]:
+    """Both resources of a transfer, in the order of `RESOURCES`."""
+    return transfer.amount.cpus, transfer.amount.accelerators
+
+
+def transfers_in_transit(views: dict[str, CellView]) -> list[Transfer]:
+    """Transfers that have left one cell and have not reached the other, as far as the views tell."""
+    return [
+        peer.in_transit
+        for view in views.values()
+        for peer in view.peers
+        if peer.in_transit is not None
+        and (peer.cell not in views or _applied(views[peer.cell], view.cell) < peer.in_transit.number)
+    ]
+
+
+def are_of_one_moment(views: dict[str, CellView]) -> bool:
+    """Whether the views can be added up: cells are heard at different moments, and shares move meanwhile."""
+    return all(
+        _agree(_given(giver, taker.cell), _applied(taker, giver.cell))
+        for giver in views.values()
+        for taker in views.values()
+        if giver is not taker
+    )
+
+
+def _given(view: CellView, taker: str) -> PeerView:
+    return next((peer for peer in view.peers if peer.cell == taker), PeerView(taker, 0, 0))
+
+
+def _agree(peer: PeerView, applied: int) -> bool:
+    """Whether what a cell gave another, and what that one took, are of one moment."""
+    if peer.in_transit is not None and applied == peer.sent - 1:
+        return True
+    return applied == peer.sent
+
+
+def _applied(view: CellView, giver: str) -> int:
+    return next((peer.applied for peer in view.peers if peer.cell == giver), 0)
+
+
+def problems(views: dict[str, CellView]) -> list[str]:
+    """Why the cells' shares don't add up, a line each. ``views`` are those of all cells, of one moment."""
+    moving = transfers_in_transit(views)
+    teams = sorted({team.team for view in views.values() for team in view.teams})
+    return [line for team in teams for line in _team_problems(team, views, moving)]
+
+
+def _team_problems(team: str, views: dict[str, CellView], moving: list[Transfer]) -> Iterator[str]:
+    held = [view for cell in views.values() for view in cell.teams if view.team == team]
+    if len(held) < len(views):
+        yield f"team {team}: has no share in {len(views) - len(held)} cells"
+    if any(view.whole != held[0].whole for view in held):
+        yield f"team {team}: cells began with different figures"
+        return
+    for index, name in enumerate(RESOURCES):
+        whole = parts_of(held[0].whole)[index]
+        amounts = [amounts_of(each)[index] for each in moving if each.team == team]
+        shares = [parts_of(view.share)[index] for view in held]
+        guaranteed = sum(share.guaranteed for share in shares) + sum(each.guaranteed for each in amounts)
+        borrowable = sum(share.borrowable or 0 for share in shares) + sum(each.borrowable for each in amounts)
+        if guaranteed != whole.guaranteed:
+            found, right = guaranteed / 1000, whole.guaranteed / 1000
+            yield f"team {team}, {name}: guarantees add up to {found:g} of {right:g}"
+        if whole.limit is not None and guaranteed + borrowable != whole.limit:
+            found = (guaranteed + borrowable) / 1000
+            yield f"team {team}, {name}: limits add up to {found:g} of {whole.limit / 1000:g}"
--- /dev/null
+++ b/tests/cells_world.py
@@ -0,0 +1,209 @@
+"""Several simulated deployments as the cells of one fleet, in one virtual time, and their links."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from poppyhold.cluster.peers import Opening
+from poppyhold.durable.store import QUOTA, Entry
+from poppyhold.options import Options
+from poppyhold.quota.amounts import UNIT, to_units, whole_share
+from poppyhold.quota.cells import Cell, CellController, Cells, check_cells
+from poppyhold.quota.messages import Answer, ShareReply, ShareRequest
+from poppyhold.quota.share_book import ShareBook
+from quota_model import sum_problems
+from sim_node import STEP_S, SimLeaderTerm
+
+if TYPE_CHECKING:
+    from world import World
+
+TEAM = "alpha"
+_LATENCY_S, _LATEST_S = 0.02, 120.0
+# Seconds between requests with nothing to ask for, with something, and while a step is under way.
+_IDLE_S, _WANTING_S, _IN_PROGRESS_S = 1.0, 0.25, 0.05
+_CHECK_S = 0.5
+
+_opening_decoder: msgspec.msgpack.Decoder[Opening] = msgspec.msgpack.Decoder(Opening)
+_answer_decoder: msgspec.msgpack.Decoder[Answer] = msgspec.msgpack.Decoder(Answer)
+
+
+class CellsWorld:
+    """The cells, their links, and what must hold over all of them."""
+
+    def __init__(self, seed: int, parts: list[float], make_world: Callable[[Options], World]) -> None:
+        self._rng = random.Random(seed)
+        names = [f"cell-{index}" for index in range(len(parts))]
+        controller = (CellController("hive-0", "127.0.0.1:1"),)
+        every = [Cell(name, part, controller) for name, part in zip(names, parts, strict=True)]
+        self.worlds = []
+        for cell in every:
+            others = tuple(other for other in every if other is not cell)
+            cells = check_cells(Cells(cell.name, cell.part, others))
+            self.worlds.append(make_world(Options(cells=cells)))
+        self._names = names
+        # One list for all: whoever breaks a rule, the scenario has.
+        self.broken = self.worlds[0].broken
+        for world in self.worlds:
+            world.broken = self.broken
+        # Ways between cells that are cut, each in one direction.
+        self.cuts: set[tuple[int, int]] = set()
+        self.twice_share = self.lost_share = self.late_share = 0.0
+        # Cells whose controllers once ran without the file: there the share may be exceeded, not unnoticed.
+        self.without_file: set[int] = set()
+        self._unsaid: Counter[int] = Counter()
+        self._check_at = 0.0
+        team = next(team for team in self.worlds[0].settings.settings.teams if team.name == TEAM)
+        self._whole = whole_share(team)
+
+    @property
+    def now(self) -> float:
+        """The same in all cells."""
+        return self.worlds[0].now
+
+    def run(self, until: float) -> None:
+        """Let time pass in all cells, a step at a time."""
+        while self.now < until:
+            target = min(until, self.now + STEP_S)
+            for world in self.worlds:
+                world.run(target)
+            for index, world in enumerate(self.worlds):
+                for node in world.nodes:
+                    if node.leader_term is not None and node.alive and not node.frozen:
+                        self._ask(index, node.leader_term)
+            self._check()
+
+    # -- links -----------------------------------------------------------------------------------------
+
+    def _ask(self, index: int, term: SimLeaderTerm) -> None:
+        """A leader asks the other cells' leaders, each in its time."""
+        quota = term.controller.quota
+        if quota is None:
+            return
+        for other, name in enumerate(self._names):
+            request = quota.requests().get(name)
+            if other == index or request is None or self.now < term.asks_at.get(other, 0.0):
+                continue
+            term.asks_at[other] = self.now + (_WANTING_S if request.wants else _IDLE_S)
+            data = msgspec.msgpack.encode(request)
+            self._send(index, other, lambda data=data, other=other: self._arrive(index, term, other, data))  # type: ignore[misc]
+
+    def _send(self, source: int, target: int, arrive: Callable[[], None]) -> None:
+        """A message goes its way, if there is one."""
+        if (source, target) in self.cuts or self._rng.random() < self.lost_share:
+            return
+        times = 2 if self._rng.random() < self.twice_share else 1
+        for _ in range(times):
+            late = self._rng.random() < self.late_share
+            delay_s = self._rng.uniform(1.0, _LATEST_S) if late else _LATENCY_S
+            self.worlds[target].after(delay_s, arrive)
+
+    def _arrive(self, index: int, asking: SimLeaderTerm, other: int, data: bytes) -> None:
+        """A request arrives at whoever leads there, or still holds itself for the leader."""
+        terms = [
+            node.leader_term
+            for node in self.worlds[other].nodes
+            if node.leader_term is not None and node.alive and not node.frozen
+        ]
+        request = _opening_decoder.decode(data)
+        assert isinstance(request, ShareRequest)
+        if not terms:
+            return
+        term = self._rng.choice(terms)
+        quota = term.controller.quota
+        if quota is None:
+            return
+        answer = msgspec.msgpack.encode(quota.answer(request))
+        term.settle()
+        self._send(other, index, lambda: self._answered(asking, other, answer))
+
+    def _answered(self, term: SimLeaderTerm, other: int, data: bytes) -> None:
+        reply = _answer_decoder.decode(data)
+        quota = term.controller.quota
+        if not term.alive or not term.node.alive or term.node.frozen or quota is None:
+            return
+        assert isinstance(reply, ShareReply)
+        quota.replied(reply)
+        if reply.in_progress:
+            term.asks_at[other] = self.now + _IN_PROGRESS_S
+        term.settle()
+
+    # -- what there is ---------------------------------------------------------------------------------
+
+    def _book(self, world: World) -> ShareBook:
+        """What is durable of a cell's shares."""
+        book = ShareBook("", str, lambda conditions, writes, done: None, lambda team: None, lambda why: None)
+        entries = world.state.scan(QUOTA, "", 1000)[1]["entries"]
+        book.load(Entry(each["key"], each["data"], each["stamp"]) for each in entries)
+        return book
+
+    def share(self, cell: int) -> float:
+        """The limit of the team's accelerators in a cell."""
+        share = self._book(self.worlds[cell]).share(TEAM)
+        return 0.0 if share is None else (share.accelerators.limit or 0) / UNIT
+
+    def used(self) -> float:
+        """Accelerators that the team uses in all cells."""
+        return sum(self._used(world) for world in self.worlds)
+
+    @staticmethod
+    def _used(world: World) -> float:
+        jobs = [world.jobs[task.rpartition("/")[0]] for _, task in world._running()]
+        return float(sum(job["accelerators"] for job in jobs if job["crew"] == TEAM))
+
+    def in_transit(self) -> list[str]:
+        """Transfers that who gave them has not forgotten."""
+        return [
+            f"{name} to {peer}"
+            for name, world in zip(self._names, self.worlds, strict=True)
+            for peer, record in self._book(world).peers.items()
+            if record.in_transit is not None
+        ]
+
+    def moves(self) -> int:
+        """Transfers that were begun in all cells."""
+        return sum(record.sent for world in self.worlds for record in self._book(world).peers.values())
+
+    def alarms(self, cell: int) -> list[str]:
+        """What stands at the cell's leader."""
+        leader = self.worlds[cell].leader()
+        term = leader.leader_term if leader is not None else None
+        quota = term.controller.quota if term is not None else None
+        return quota.alarms.texts() if quota is not None else []
+
+    # -- rules -----------------------------------------------------------------------------------------
+
+    def _check(self) -> None:
+        limit = self._whole.accelerators.limit
+        used = self.used()
+        if limit is not None and to_units(used) > limit:
+            self.broken.append(f"quota over all cells: {used:g} at {self.now:.1f}")
+        if self.now < self._check_at:
+            return
+        self._check_at = self.now + _CHECK_S
+        books = {name: self._book(world) for name, world in zip(self._names, self.worlds, strict=True)}
+        if any(book.share(TEAM) is None for book in books.values()):
+            return
+        running = {
+            name: 0 if index in self.without_file and self._says_so(index) else to_units(self._used(world))
+            for index, (name, world) in enumerate(zip(self._names, self.worlds, strict=True))
+        }
+        for problem in sum_problems(books, TEAM, self._whole, running):
+            self.broken.append(f"shares: {problem} at {self.now:.1f}")
+
+    def _says_so(self, cell: int) -> bool:
+        """Whether more in use than the share is named there, or nobody with the file leads who could."""
+        leader = self.worlds[cell].leader()
+        term = leader.leader_term if leader is not None else None
+        quota = term.controller.quota if term is not None else None
+        if term is None or quota is None or term.controller.attempts.unheard:
+            return True
+        if any("use above share" in alarm for alarm in quota.alarms.texts()):
+            return True
+        # It is found at the next tick behind the report that shows it.
+        self._unsaid[cell] += 1
+        return self._unsaid[cell] == 1
--- /dev/null
+++ b/tests/quota_model.py
@@ -0,0 +1,287 @@
+"""Cells that exchange shares, step by step: the real book over stand-in stores and a bad network."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+
+from poppyhold.durable.committer import Writer
+from poppyhold.durable.store import (
+    LEAD,
+    QUOTA,
+    ConflictError,
+    Data,
+    Entry,
+    RefusedError,
+    Store,
+    UncertainError,
+    put,
+)
+from poppyhold.quota.amounts import UNIT, ResourceAmount, ResourceShare, TeamAmount, TeamShare, seed
+from poppyhold.quota.messages import PROTOCOL_VERSION, ShareReply, ShareRequest
+from poppyhold.quota.share_book import ShareBook
+from poppyhold.scale.standins import StateStandIn
+
+TEAM = "alpha"
+CELLS = ("east", "north", "west")
+WHOLE = TeamShare(ResourceShare(), ResourceShare(4 * UNIT, 8 * UNIT))
+WEIGHTS = {"east": 5, "north": 3, "west": 2}
+
+
+class Outcome(Enum):
+    """What becomes of one try of a transaction."""
+
+    ANSWERED = "answered"
+    # Carried out, and the answer is lost.
+    LOST = "lost"
+    # No answer, and carried out later if at all.
+    LATE = "late"
+    REFUSED = "refused"
+
+
+class ScriptedStore(Store):
+    """A client of a stand-in whose next transaction goes as it is told."""
+
+    def __init__(self, state: StateStandIn, late: list[Callable[[], None]]) -> None:
+        self._state, self._late = state, late
+        self.outcome = Outcome.ANSWERED
+        self.timeout = 1.0
+        self.contact_at = 0.0
+
+    def get(self, key: str) -> Entry | None:
+        status, body = self._state.get(key)
+        return Entry(key, body["data"], body["stamp"]) if status == 200 else None
+
+    def commit(self, conditions: dict[str, int], writes: list[Data]) -> int:
+        body = {"if": [{"key": key, "stamp": stamp} for key, stamp in conditions.items()], "writes": writes}
+        outcome, self.outcome = self.outcome, Outcome.ANSWERED
+        if outcome is Outcome.REFUSED:
+            raise RefusedError("503")
+        if outcome is Outcome.LATE:
+            self._late.append(lambda: self._state.commit(body) and None)
+            raise UncertainError("late")
+        status, answer = self._state.commit(body)
+        if status == 409:
+            raise ConflictError(answer["failed"])
+        if outcome is Outcome.LOST:
+            raise UncertainError("lost")
+        return int(answer["ledger"])
+
+
+class Leader:
+    """One term: its book, and its durable steps in their order."""
+
+    def __init__(self, cell: ModelCell, lead_version: int) -> None:
+        self.cell = cell
+        self.store = ScriptedStore(cell.state, cell.late)
+        self.writer = Writer(self.store, lead_version)
+        self.steps: list[tuple[dict[str, int], list[Data], Callable[[bool], None]]] = []
+        self.deposed = self.unclear = False
+        self.book = ShareBook(cell.name, cell.draw, self._commit, lambda team: None, self._on_unclear)
+        entries = cell.state.scan(QUOTA, "", 1000)[1]["entries"]
+        self.book.load(Entry(each["key"], each["data"], each["stamp"]) for each in entries)
+
+    def _commit(self, conditions: dict[str, int], writes: list[Data], done: Callable[[bool], None]) -> None:
+        self.steps.append((conditions, writes, done))
+
+    def _on_unclear(self, why: str) -> None:
+        self.unclear = True
+
+    def carry_out(self, outcome: Outcome = Outcome.ANSWERED) -> None:
+        """One try of the first step that waits."""
+        if not self.steps or self.deposed:
+            return
+        conditions, writes, done = self.steps[0]
+        self.store.outcome = outcome
+        try:
+            self.writer.commit(conditions, writes)
+        except ConflictError as conflict:
+            if LEAD in conflict.failed:
+                self.deposed = True
+                return
+            result = False
+        except (RefusedError, UncertainError):
+            return
+        else:
+            result = True
+        self.steps.pop(0)
+        done(result)
+
+    def limit(self) -> int:
+        """The limit that starts are planned against."""
+        share = self.book.share(TEAM)
+        return 0 if share is None else share.accelerators.limit or 0
+
+    def idle(self) -> int:
+        """What lies above all that may run."""
+        return max(0, self.limit() - self.cell.running)
+
+    def give(self, peer: ModelCell, units: int) -> bool:
+        """Give up to so many units of what is idle, guaranteed ones first."""
+        share = self.book.share(TEAM)
+        if share is None or self.deposed or peer.leader is None:
+            return False
+        amount = min(units, self.idle())
+        guaranteed = min(amount, share.accelerators.guaranteed)
+        part = ResourceAmount(guaranteed, min(amount - guaranteed, share.accelerators.borrowable or 0))
+        return self.book.give(peer.name, peer.incarnation, TEAM, TeamAmount(accelerators=part))
+
+    def request(self, peer: str) -> ShareRequest:
+        """What this leader tells another cell's."""
+        known = self.book.peers.get(peer)
+        return ShareRequest(
+            PROTOCOL_VERSION,
+            self.cell.name,
+            peer,
+            "",
+            self.book.incarnation,
+            known.incarnation if known is not None else "",
+            self.book.applied(peer),
+        )
+
+    def answer(self, request: ShareRequest) -> ShareReply:
+        """The answer to another cell's leader, without what it wants."""
+        self.book.check_peer(request.cell, request.incarnation)
+        self.book.acknowledged(request.cell, request.incarnation, request.applied)
+        return ShareReply(self.cell.name, self.book.incarnation, self.book.transfer_to(request.cell))
+
+    def take(self, reply: ShareReply) -> None:
+        """Another cell's answer arrives."""
+        self.book.check_peer(reply.cell, reply.incarnation)
+        if reply.transfer is not None:
+            self.book.receive(reply.cell, reply.incarnation, reply.transfer)
+
+
+class ModelCell:
+    """One cell: a store, a leader and those before it, and what runs."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.state = StateStandIn(lambda: 0.0)
+        self.late: list[Callable[[], None]] = []
+        self.leader: Leader | None = None
+        # Deposed, and not aware of it.
+        self.former: list[Leader] = []
+        self.running = 0
+        self._drawn = 0
+        self.elect()
+        assert self.leader is not None
+        self.leader.book.seed({TEAM: (seed(WHOLE, WEIGHTS, name), WHOLE)}, 10)
+        self.leader.carry_out()
+
+    @property
+    def incarnation(self) -> str:
+        """Of the records as they were made first."""
+        return f"{self.name}-1"
+
+    def draw(self) -> str:
+        """A new incarnation."""
+        self._drawn += 1
+        return f"{self.name}-{self._drawn}"
+
+    def elect(self) -> None:
+        """A new leader; the one before does not know yet."""
+        if self.leader is not None:
+            self.former = [*self.former[-1:], self.leader]
+        answer = self.state.commit({"writes": [put(LEAD, {"member": self.name})]})[1]
+        self.leader = Leader(self, answer["ledger"])
+
+    def crash(self) -> None:
+        """The leader ends between two steps; the next one reads what is durable."""
+        self.leader = None
+        self.elect()
+
+    def durable(self) -> Leader:
+        """What a leader would read now."""
+        return Leader(self, -1)
+
+
+def sum_problems(
+    books: dict[str, ShareBook], team: str, whole: TeamShare, running: dict[str, int]
+) -> list[str]:
+    """Why durable shares and what is on its way are not what they must be, for a team's accelerators."""
+    found = []
+    guaranteed = borrowable = 0
+    for cell, book in books.items():
+        share = book.share(team)
+        part = share.accelerators if share is not None else ResourceShare(0, 0)
+        guaranteed += part.guaranteed
+        borrowable += part.borrowable or 0
+        if part.guaranteed < 0 or (part.borrowable or 0) < 0:
+            found.append(f"{cell} has a negative share: {part}")
+        if (part.limit or 0) < running[cell]:
+            found.append(f"{cell} runs {running[cell]} of {part.limit}")
+        for peer, record in book.peers.items():
+            transfer = record.in_transit
+            if transfer is not None and transfer.team == team and transfer.number > books[peer].applied(cell):
+                guaranteed += transfer.amount.accelerators.guaranteed
+                borrowable += transfer.amount.accelerators.borrowable
+    if (guaranteed, borrowable) != (whole.accelerators.guaranteed, whole.accelerators.borrowable):
+        found.append(f"guarantees add up to {guaranteed}, the rest to {borrowable}")
+    return found
+
+
+class Fleet:
+    """All cells, and the messages between them."""
+
+    def __init__(self) -> None:
+        self.cells = [ModelCell(name) for name in CELLS]
+        self.network: list[tuple[ModelCell, ShareRequest | ShareReply]] = []
+
+    def ask(self, index: int, other: int, by_former: bool = False) -> None:
+        """A leader asks another cell's; also one that was deposed may."""
+        cell, peer = self.cells[index], self.cells[other]
+        leader = cell.former[-1] if by_former and cell.former else cell.leader
+        if index != other and leader is not None:
+            self.network.append((peer, leader.request(peer.name)))
+
+    def deliver(self, index: int, again: bool = False, to_former: bool = False) -> None:
+        """A message arrives, and may come again; an answer goes back the same way."""
+        if not self.network:
+            return
+        index %= len(self.network)
+        cell, message = self.network[index] if again else self.network.pop(index)
+        leader = cell.former[-1] if to_former and cell.former else cell.leader
+        if leader is None:
+            return
+        if isinstance(message, ShareReply):
+            leader.take(message)
+            return
+        back = next(each for each in self.cells if each.name == message.cell)
+        self.network.append((back, leader.answer(message)))
+
+    def settle(self) -> None:
+        """All troubles are over: new leaders exchange what there is."""
+        self.network.clear()
+        for cell in self.cells:
+            cell.elect()
+        for _ in range(6):
+            for index, cell in enumerate(self.cells):
+                for other in range(len(self.cells)):
+                    self.ask(index, other)
+                while self.network:
+                    self.deliver(0)
+                    for each in self.cells:
+                        assert each.leader is not None
+                        each.leader.carry_out()
+                assert cell.leader is not None
+
+    def problems(self) -> list[str]:
+        """What must never be, by what is durable now."""
+        books = {cell.name: cell.durable().book for cell in self.cells}
+        found = sum_problems(books, TEAM, WHOLE, {cell.name: cell.running for cell in self.cells})
+        for cell in self.cells:
+            share = books[cell.name].share(TEAM)
+            durable = 0 if share is None else share.accelerators.limit or 0
+            if cell.leader is not None and cell.leader.limit() > durable:
+                found.append(f"{cell.name} plans with {cell.leader.limit()} of {durable}")
+        return found
+
+    def in_transit(self) -> list[str]:
+        """Transfers that are on their way, or not yet forgotten by who gave them."""
+        return [
+            f"{cell.name} to {peer}"
+            for cell in self.cells
+            for peer, record in cell.durable().book.peers.items()
+            if record.in_transit is not None
+        ]
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -5,10 +5,13 @@
 from pathlib import Path
 from typing import Any
 
+from cells_world import CellsWorld
 from poppyhold.durable.store import TOKEN
+from poppyhold.options import Options
 from poppyhold.relay.mode import RelayMode
 from poppyhold.scale.jobs import submission
 from poppyhold.settings import NextState, Objective, Team
+from sim_node import SimNode
 from world import World
 
 FOLDER = Path(__file__).parent / "scenarios"
@@ -28,17 +31,29 @@
         teams = [Team("alpha", gpus=guaranteed, gpus_max=limit), Team("beta", gpus=8, gpus_max=0)]
         # Teams without a guarantee or a limit.
         teams += [Team(name) for name in head.get("guests", "").split(",") if name]
-        self.world = World(
-            seed,
-            float(head.get("lease_s", 10)),
-            float(head.get("cancel_s", 30)),
-            teams,
-            _next_limits(head),
-            head["zones"].split(",") if "zones" in head else None,
-            _wait_objectives(head.get("wait", "")),
-            RelayMode(head.get("relays", "off")),
-            float(head.get("report_s", 1)),
-        )
+
+        def make_world(options: Options) -> World:
+            return World(
+                seed,
+                float(head.get("lease_s", 10)),
+                float(head.get("cancel_s", 30)),
+                teams,
+                _next_limits(head),
+                head["zones"].split(",") if "zones" in head else None,
+                _wait_objectives(head.get("wait", "")),
+                RelayMode(head.get("relays", "off")),
+                float(head.get("report_s", 1)),
+                options,
+            )
+
+        # With `parts` the fleet is several cells; lines are about the first one where they name none.
+        self.cells = None
+        if "parts" in head:
+            parts = [float(part) for part in head["parts"].split(",")]
+            self.cells = CellsWorld(seed, parts, make_world)
+            self.world = self.cells.worlds[0]
+        else:
+            self.world = make_world(Options())
         self.failures: list[str] = []
 
     def play(self) -> None:
@@ -46,9 +61,101 @@
         for line in self.lines:
             words = line
             if line[0] == "at":
-                self.world.run(float(line[1]))
+                (self.cells or self.world).run(float(line[1]))
                 words = line[2:]
-            getattr(self, f"do_{words[0]}")(*words[1:])
+            self._do(words)
+
+    def _do(self, words: list[str]) -> None:
+        getattr(self, f"do_{words[0]}")(*words[1:])
+
+    # -- cells ---------------------------------------------------------------------------------------
+
+    def _several(self) -> CellsWorld:
+        assert self.cells is not None, "`world` has no parts"
+        return self.cells
+
+    def do_in(self, cell: str, *words: str) -> None:
+        """The rest of the line is about that cell."""
+        before, self.world = self.world, self._several().worlds[int(cell)]
+        self._do(list(words))
+        self.world = before
+
+    def do_cut_cells(self, source: str, target: str, word: str, seconds: str) -> None:
+        """What the first cell sends does not reach the second one."""
+        cells, way = self._several(), (int(source), int(target))
+        cells.cuts.add(way)
+        self.world.after(float(seconds), lambda: cells.cuts.discard(way))
+
+    def do_cell_messages(self, how: str, share: str, word: str, seconds: str) -> None:
+        """That share of messages between cells comes twice, is lost, or comes up to two minutes late."""
+        self._for_a_while(self._several(), f"{how}_share", seconds, float(share))
+
+    def do_cut_way(self, way: str, word: str, seconds: str) -> None:
+        """`SOURCE-TARGET@TIME`: see `do_cut_cells`."""
+        ends, _, at = way.partition("@")
+        source, target = ends.split("-")
+        cut = [source, target, word, seconds]
+        self.world.after(float(at) - self.world.now, lambda: self.do_cut_cells(*cut))
+
+    def do_kill_in_transfer(self, step: str) -> None:
+        """`giver-planned-1`: the leader of cell 1 is killed as it is about to write its first such step."""
+        side, stage, number = step.split("-")
+        self.do_in("1" if side == "giver" else "0", "in_transfer", stage, number, "crash")
+
+    def do_in_transfer(self, stage: str, number: str, what: str, seconds: str = "5") -> None:
+        """As that step of a transfer is planned, or was just written, its leader crashes or freezes."""
+        world, left = self.world, int(number)
+
+        def reached(node: SimNode, now: str) -> None:
+            nonlocal left
+            left -= now == stage
+            if left or now != stage:
+                return
+            if what == "crash":
+                node.crash(float(seconds))
+            else:
+                self._for_a_while(node, "frozen", seconds)
+
+        world.on_transfer_step = reached
+
+    def do_without_cells(self, which: str) -> None:
+        """The nodes know of no other cells from their next process on: the version before, or no file."""
+        self._several().without_file.add(self._several().worlds.index(self.world))
+        for node in self._nodes(which):
+            node.options = Options()
+            node.boot()
+
+    def do_with_cells(self, which: str) -> None:
+        """The nodes are killed and come back with the file."""
+        for node in self._nodes(which):
+            node.options = self.world.options
+            node.crash(3.0)
+
+    def _expect_share(self, cell: str, least: str, most: str) -> None:
+        """The accelerators that team alpha may use there, as is durable."""
+        limit = self._several().share(int(cell))
+        self._expect(float(least) <= limit <= float(most), f"cell {cell} has a share of {limit:g}")
+
+    def _expect_in_use(self, least: str, most: str) -> None:
+        """The accelerators that team alpha uses in all cells."""
+        used = self._several().used()
+        self._expect(float(least) <= used <= float(most), f"{used:g} accelerators are in use")
+
+    def _expect_transit(self, number: str) -> None:
+        """Transfers that somebody still keeps a note of."""
+        found = self._several().in_transit()
+        self._expect(len(found) == int(number), f"in transit: {found}")
+
+    def _expect_moves(self, most: str) -> None:
+        """Transfers that were ever begun."""
+        moves = self._several().moves()
+        self._expect(moves <= int(most), f"{moves} moves")
+
+    def _expect_alarm(self, cell: str, *words: str) -> None:
+        """An alarm that holds these words stands there, or none."""
+        alarms, text = self._several().alarms(int(cell)), " ".join(words)
+        holds = not alarms if text == "none" else any(text in alarm for alarm in alarms)
+        self._expect(holds, f"alarms of cell {cell}: {alarms}")
 
     def do_old(self, which: str) -> None:
         """The nodes run the version before, as far as it stores otherwise, also when they come back."""
@@ -192,12 +299,13 @@
 
     def do_trouble(self, kind: str, machine: str, word: str, seconds: str) -> None:
         """A kind of trouble with a machine, or with all; the kinds are in scenarios/README.md."""
-        names = list(self.world.workers) if machine == "all" else [machine]
+        world = self.world
+        names = list(world.workers) if machine == "all" else [machine]
         for name in names:
-            self.world.troubles.setdefault(name, set()).add(kind)
-            self.world.after(
+            world.troubles.setdefault(name, set()).add(kind)
+            world.after(
                 float(seconds),
-                lambda name=name: self.world.troubles[name].discard(kind),  # type: ignore[misc]
+                lambda name=name: world.troubles[name].discard(kind),  # type: ignore[misc]
             )
 
     def do_faulty(self, machine: str) -> None:
--- a/tests/sim_node.py
+++ b/tests/sim_node.py
@@ -33,6 +33,7 @@
 from poppyhold.node.leader_term import DIRECT_SHARE
 from poppyhold.node.users import Users
 from poppyhold.options import Options
+from poppyhold.quota.records import PEER
 from poppyhold.reads.job_reads import JobReads
 from poppyhold.relay.assignment import Assignment
 from poppyhold.relay.intake import RelayIntake, RelayState
@@ -125,8 +126,12 @@
         self._writer = Writer(node.store, stamp)
         self._units: deque[tuple[dict[str, int], list[Data], Callable[[bool], None]]] = deque()
         self._ranks: deque[CommitRank] = deque()
+        # Writes of the last transfer that was about to be carried out.
+        self._planned: list[Data] | None = None
+        # When each other cell is asked next.
+        self.asks_at: dict[int, float] = {}
         self.controller = Controller(
-            node.settings, Options(), self, baton, lambda: world.now, lambda: world.now, world.rng
+            node.settings, node.options, self, baton, lambda: world.now, lambda: world.now, world.rng
         )
         dispatcher = self.controller.dispatcher
         self._count_calls("passes", dispatcher, "dispatch")
@@ -151,7 +156,8 @@
         )
         self.authority.synced(world.now, node.store.revision())
         self.controller.load(
-            SnapshotReader(node.store).read(), [convert(b, MachineType) for b in world.cloud.machine_types]
+            SnapshotReader(node.store, with_quota=node.options.cells is not None).read(),
+            [convert(b, MachineType) for b in world.cloud.machine_types],
         )
         self.next_list = world.now
         self.woken_at = world.now
@@ -159,6 +165,13 @@
     def _carry_out(self) -> None:
         """One try of the first unit that waits, as the committer's thread does."""
         conditions, writes, done = self._units[0]
+        is_transfer = any(str(write.get("set")).startswith(PEER) for write in writes)
+        if is_transfer and self._planned is not writes:
+            self._planned = writes
+            self.world.on_transfer_step(self.node, "planned")
+            if self.node.frozen or not self.alive:
+                self._later(0.0, self._carry_out)
+                return
         try:
             self._writer.commit(conditions, writes)
         except ConflictError as conflict:
@@ -171,6 +184,8 @@
             return
         else:
             result = True
+            if is_transfer:
+                self.world.on_transfer_step(self.node, "written")
         self._units.popleft()
         self._ranks.popleft()
         self._later(0.002, lambda: done(result))
@@ -358,7 +373,7 @@
     def __init__(self, world: World, member: str) -> None:
         self.world, self.member = world, member
         self.zone = world.zones[world.members.index(member) % len(world.zones)]
-        self.settings = world.settings
+        self.settings, self.options = world.settings, world.options
         self.times = Times(world.settings, Options())
         self.alive = True
         self.refused = False
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,10 +12,11 @@
 
 from poppyhold.cluster.authority import Authority
 from poppyhold.cluster.cancellations import Cancellations
-from poppyhold.cluster.peers import Peers, Ping, Pong, receive_opening
+from poppyhold.cluster.peers import Opening, Peers, Ping, Pong, receive_opening
 from poppyhold.node.service import Node
 from poppyhold.options import Options
-from poppyhold.relay.messages import RelayHello
+from poppyhold.quota.messages import Answer as QuotaAnswer
+from poppyhold.quota.messages import Opening as QuotaOpening
 from poppyhold.scale.controllers import free_port
 from poppyhold.scale.jobs import submission, wire
 from poppyhold.settings import Known, Outside, Team, split_address
@@ -30,7 +31,11 @@
 PONG = ["pong", "hive-1", 0, False, 0.5, 40, 3]
 
 
-def over_a_connection(message: list[Any]) -> Ping | Pong | RelayHello:
+def no_cells(message: QuotaOpening) -> QuotaAnswer:
+    raise ValueError("this fleet has one cell")
+
+
+def over_a_connection(message: list[Any]) -> Opening:
     """What is received of a message that another version sent."""
     ours, theirs = socket.socketpair()
     with ours, theirs:
@@ -161,6 +166,7 @@
         lambda member: None,
         lambda: None,
         lambda connection, hello: None,
+        no_cells,
     )
     peers.start()
     try:
@@ -248,6 +254,7 @@
         lambda member: None,
         lambda: None,
         lambda connection, hello: None,
+        no_cells,
     )
     peers.start()
     address = split_address(settings.back)
--- /dev/null
+++ b/tests/test_share_book.py
@@ -0,0 +1,382 @@
+"""Shares over cells: amounts, and a stateful search for a sequence of failures that loses or doubles any."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from poppyhold.durable.committer import Writer
+from poppyhold.durable.store import LEAD, Data
+from poppyhold.quota.amounts import (
+    UNIT,
+    ResourceAmount,
+    ResourceShare,
+    TeamAmount,
+    TeamShare,
+    seed,
+    split,
+    whole_share,
+)
+from poppyhold.quota.records import Transfer
+from poppyhold.quota.share_book import (
+    ProtocolError,
+    SequenceError,
+    ShareBook,
+    UnknownIncarnationError,
+)
+from poppyhold.scheduling.quotas import Quotas, TeamQuota
+from poppyhold.settings import ConfigError, Team
+from quota_model import CELLS, TEAM, Fleet, Outcome
+
+WEIGHTS = st.dictionaries(st.sampled_from("abcde"), st.integers(1, 10**9), min_size=1)
+
+
+# -- amounts -----------------------------------------------------------------------------------------
+
+
+@given(st.integers(0, 10**7), WEIGHTS)
+def test_parts_of_an_amount_add_up_and_are_whole(amount: int, weights: dict[str, int]) -> None:
+    dealt = split(amount, weights)
+    assert sum(dealt.values()) == amount
+    assert sum(part % UNIT != 0 for part in dealt.values()) <= 1
+    total = sum(weights.values())
+    whole = amount // UNIT * UNIT
+    fraction = amount - whole
+    for cell, part in dealt.items():
+        # What is below a whole unit is one cell's alone.
+        units = part if part % UNIT == 0 else part - fraction
+        assert abs(units - whole * weights[cell] / total) < UNIT
+
+
+@given(st.integers(0, 10**6), st.integers(0, 10**6), WEIGHTS)
+def test_first_shares_add_up_with_guarantees_within_limits(
+    guaranteed: int, borrowable: int, weights: dict[str, int]
+) -> None:
+    whole = TeamShare(ResourceShare(), ResourceShare(guaranteed, borrowable))
+    shares = [seed(whole, weights, cell).accelerators for cell in weights]
+    assert sum(share.guaranteed for share in shares) == guaranteed
+    assert sum(share.limit or 0 for share in shares) == guaranteed + borrowable
+    assert all(0 <= share.guaranteed <= (share.limit or 0) for share in shares)
+
+
+def test_no_limit_and_a_share_of_nothing_differ() -> None:
+    quotas = Quotas([Team("free"), Team("bound", gpus=2, gpus_max=4)])
+    task = (1.0, 1.0, 1.0)
+    assert quotas.allows("free", (100.0, 100.0), task)
+    whole = whole_share(Team("bound", gpus=2, gpus_max=4))
+    quotas.set("bound", whole.nothing().quota(whole))
+    assert not quotas.allows("bound", (0.0, 0.0), task)
+    assert not quotas.has_guarantee("bound")
+    assert not quotas.within_guarantee("bound", 1.0, 1.0)
+    # Nothing is said of CPUs: work that takes no accelerator is not bound.
+    assert quotas.allows("bound", (100.0, 0.0), (1.0, 0.0, 1.0))
+
+
+def test_a_guarantee_of_nothing_here_covers_no_accelerator() -> None:
+    quota = TeamQuota(cpus_guaranteed=8.0, accelerators_guaranteed=0.0)
+    assert quota.covers(4.0, 0.0)
+    assert not quota.covers(4.0, 1.0)
+
+
+def test_a_guarantee_above_the_limit_is_refused() -> None:
+    with pytest.raises(ConfigError, match=r"settings\.teams\.alpha\.gpus"):
+        whole_share(Team("alpha", gpus=5, gpus_max=4))
+
+
+# -- the search --------------------------------------------------------------------------------------
+
+CELL = st.integers(0, len(CELLS) - 1)
+MESSAGE = st.integers(0, 50)
+
+
+class ShareMachine(RuleBasedStateMachine):
+    """Three cells with changing leaders, bad links and stores that lose answers or carry out late."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet = Fleet()
+
+    @rule(cell=CELL, units=st.integers(1, 8))
+    def start_tasks(self, cell: int, units: int) -> None:
+        one = self.fleet.cells[cell]
+        assert one.leader is not None
+        one.running += min(units * UNIT, one.leader.idle())
+
+    @rule(cell=CELL, units=st.integers(1, 8))
+    def end_tasks(self, cell: int, units: int) -> None:
+        one = self.fleet.cells[cell]
+        one.running -= min(units * UNIT, one.running)
+
+    @rule(cell=CELL, peer=CELL, units=st.integers(1, 8))
+    def give(self, cell: int, peer: int, units: int) -> None:
+        leader = self.fleet.cells[cell].leader
+        if cell != peer and leader is not None:
+            leader.give(self.fleet.cells[peer], units * UNIT)
+
+    @rule(cell=CELL, outcome=st.sampled_from(Outcome))
+    def carry_out(self, cell: int, outcome: Outcome) -> None:
+        leader = self.fleet.cells[cell].leader
+        assert leader is not None
+        leader.carry_out(outcome)
+
+    @rule(cell=CELL, outcome=st.sampled_from(Outcome))
+    def carry_out_of_a_former_leader(self, cell: int, outcome: Outcome) -> None:
+        for leader in self.fleet.cells[cell].former:
+            leader.carry_out(outcome)
+
+    @rule(cell=CELL, which=st.integers(0, 9))
+    def carry_out_late(self, cell: int, which: int) -> None:
+        late = self.fleet.cells[cell].late
+        if late:
+            late.pop(which % len(late))()
+
+    @rule(cell=CELL)
+    def elect(self, cell: int) -> None:
+        self.fleet.cells[cell].elect()
+
+    @rule(cell=CELL)
+    def crash(self, cell: int) -> None:
+        self.fleet.cells[cell].crash()
+
+    @rule(cell=CELL, peer=CELL, by_former=st.booleans())
+    def ask(self, cell: int, peer: int, by_former: bool) -> None:
+        self.fleet.ask(cell, peer, by_former)
+
+    @rule(which=MESSAGE, again=st.booleans(), to_former=st.booleans())
+    def deliver(self, which: int, again: bool, to_former: bool) -> None:
+        try:
+            self.fleet.deliver(which, again, to_former)
+        except ProtocolError:
+            # A leader that was deposed may be behind. One that leads is never.
+            assert to_former or any(cell.former for cell in self.fleet.cells)
+
+    @rule(which=MESSAGE)
+    def lose(self, which: int) -> None:
+        if self.fleet.network:
+            self.fleet.network.pop(which % len(self.fleet.network))
+
+    @invariant()
+    def nothing_is_lost_or_doubled(self) -> None:
+        assert self.fleet.problems() == []
+
+    def teardown(self) -> None:
+        self.fleet.settle()
+        assert self.fleet.problems() == []
+        assert self.fleet.in_transit() == []
+        self._meet_a_need()
+
+    def _meet_a_need(self) -> None:
+        """What is idle anywhere reaches the cell that needs it."""
+        first = self.fleet.cells[0]
+        for cell in self.fleet.cells:
+            cell.running = 0
+        for cell in self.fleet.cells[1:]:
+            assert cell.leader is not None
+            cell.leader.give(first, cell.leader.limit())
+            cell.leader.carry_out()
+        self.fleet.settle()
+        assert first.leader is not None
+        assert first.leader.limit() == 12 * UNIT
+
+
+ShareMachine.TestCase.settings = settings(max_examples=150, stateful_step_count=60, deadline=None)
+TestShares = ShareMachine.TestCase
+
+
+# -- guards, each taken out ----------------------------------------------------------------------------
+
+
+def transfer(fleet: Fleet, again: int = 0) -> None:
+    """One unit goes from the first cell to the second, and its answer arrives more than once."""
+    giver, taker = fleet.cells[0].leader, fleet.cells[1].leader
+    assert giver is not None
+    assert taker is not None
+    giver.give(fleet.cells[1], UNIT)
+    giver.carry_out()
+    fleet.ask(1, 0)
+    fleet.deliver(0)
+    for _ in range(again):
+        fleet.deliver(0, again=True)
+        taker.carry_out()
+    fleet.deliver(0)
+    taker.carry_out()
+
+
+def repeated(fleet: Fleet) -> None:
+    transfer(fleet, again=2)
+
+
+def started_before_the_write(fleet: Fleet) -> None:
+    """All that the share in force allows is started while the write of a gift is under way."""
+    cell = fleet.cells[0]
+    assert cell.leader is not None
+    cell.leader.give(fleet.cells[1], 2 * UNIT)
+    cell.running += cell.leader.idle()
+    cell.leader.carry_out()
+
+
+def started_before_it_was_taken(fleet: Fleet) -> None:
+    """A taker plans with what it is given, and ends before that is durable."""
+    giver, taker = fleet.cells[0].leader, fleet.cells[1]
+    assert giver is not None
+    giver.give(taker, UNIT)
+    giver.carry_out()
+    fleet.ask(1, 0)
+    fleet.deliver(0)
+    fleet.deliver(0)
+    assert taker.leader is not None
+    taker.running += taker.leader.idle()
+
+
+def told_before_it_was_written(fleet: Fleet) -> None:
+    """A giver ends before its gift is durable; the taker has asked meanwhile."""
+    giver, taker = fleet.cells[0], fleet.cells[1]
+    assert giver.leader is not None
+    assert taker.leader is not None
+    giver.leader.give(taker, UNIT)
+    fleet.ask(1, 0)
+    fleet.deliver(0)
+    fleet.deliver(0)
+    taker.leader.carry_out()
+    giver.crash()
+
+
+def frozen_in_a_gift(fleet: Fleet) -> None:
+    """A giver stands still between planning and write; its successor gives the same again."""
+    giver = fleet.cells[0]
+    frozen = giver.leader
+    assert frozen is not None
+    frozen.give(fleet.cells[1], 3 * UNIT)
+    giver.elect()
+    assert giver.leader is not None
+    giver.leader.give(fleet.cells[2], 3 * UNIT)
+    giver.leader.carry_out()
+    frozen.carry_out()
+
+
+def carried_out_late(fleet: Fleet) -> None:
+    """A gift without an answer is tried again, and its first try arrives behind a second gift."""
+    giver, taker = fleet.cells[0], fleet.cells[1]
+    assert giver.leader is not None
+    assert taker.leader is not None
+    for first in (Outcome.LATE, Outcome.ANSWERED):
+        giver.leader.give(taker, UNIT)
+        giver.leader.carry_out(first)
+        giver.leader.carry_out()
+        for _ in range(2):
+            fleet.ask(1, 0)
+            fleet.deliver(0)
+            fleet.deliver(0)
+            taker.leader.carry_out()
+            giver.leader.carry_out()
+    giver.late.pop()()
+
+
+def _always_next(before: object, transfer: object) -> bool:
+    return True
+
+
+def _leave_later(self: ShareBook, lowered: object) -> None:
+    return None
+
+
+def _join_at_once(
+    self: ShareBook, raised: object, link: object, peer: object, durable: Callable[[], None]
+) -> None:
+    durable()
+
+
+def _told_at_once(self: ShareBook, peer: str) -> Transfer | None:
+    record = self.peers.get(peer)
+    return record.in_transit if record is not None else None
+
+
+def _without_lead(writer: Writer, conditions: dict[str, int], writes: list[Data]) -> None:
+    writer._store.commit(conditions, writes)
+
+
+def _without_fence(writer: Writer, conditions: dict[str, int], writes: list[Data]) -> None:
+    writer._store.commit({LEAD: writer._lead_version, **conditions}, writes)
+
+
+GUARDS = [
+    pytest.param(repeated, ShareBook, "_is_next", staticmethod(_always_next), id="sequence"),
+    pytest.param(started_before_the_write, ShareBook, "_leave", _leave_later, id="leaves-first"),
+    pytest.param(started_before_it_was_taken, ShareBook, "_join", _join_at_once, id="joins-last"),
+    pytest.param(told_before_it_was_written, ShareBook, "transfer_to", _told_at_once, id="durable-first"),
+    pytest.param(frozen_in_a_gift, Writer, "commit", _without_lead, id="lead"),
+    pytest.param(carried_out_late, Writer, "commit", _without_fence, id="fence"),
+]
+
+
+@pytest.mark.parametrize(("play", "owner", "method", "stub"), GUARDS)
+def test_each_guard_keeps_the_sum(
+    play: Callable[[Fleet], None],
+    owner: type,
+    method: str,
+    stub: Callable[..., object],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    fleet = Fleet()
+    play(fleet)
+    assert fleet.problems() == []
+    without = Fleet()
+    monkeypatch.setattr(owner, method, stub)
+    play(without)
+    assert without.problems() != []
+
+
+# -- what is refused -----------------------------------------------------------------------------------
+
+
+def test_a_gap_in_the_sequence_is_refused() -> None:
+    book = Fleet().cells[1].leader
+    assert book is not None
+    amount = TeamAmount(accelerators=ResourceAmount(0, UNIT))
+    with pytest.raises(SequenceError):
+        book.book.receive("east", "east-1", Transfer(2, TEAM, amount))
+
+
+def test_more_than_was_ever_given_cannot_be_acknowledged() -> None:
+    fleet = Fleet()
+    leader = fleet.cells[0].leader
+    assert leader is not None
+    with pytest.raises(SequenceError):
+        leader.book.acknowledged("north", "north-1", 1)
+    transfer(fleet)
+    with pytest.raises(SequenceError):
+        leader.book.acknowledged("north", "north-1", 2)
+
+
+def test_a_cell_that_was_made_anew_is_refused() -> None:
+    fleet = Fleet()
+    transfer(fleet)
+    giver, taker = fleet.cells[0].leader, fleet.cells[1].leader
+    assert giver is not None
+    assert taker is not None
+    with pytest.raises(UnknownIncarnationError):
+        giver.book.acknowledged("north", "north-2", 1)
+    with pytest.raises(UnknownIncarnationError):
+        taker.book.receive("east", "east-2", Transfer(2, TEAM, TeamAmount(accelerators=ResourceAmount(1, 0))))
+
+
+def test_a_record_that_appears_while_it_is_made_ends_the_term() -> None:
+    """A first try without an answer made the records: what is there is read anew, not guessed."""
+    cell = Fleet().cells[0]
+    cell.state.keys = {key: value for key, value in cell.state.keys.items() if "/q/" not in key}
+    cell.crash()
+    leader = cell.leader
+    assert leader is not None
+    whole = TeamShare(ResourceShare(), ResourceShare(0, UNIT))
+    leader.book.seed({TEAM: (whole, whole)}, 10)
+    leader.carry_out(Outcome.LOST)
+    leader.carry_out()
+    assert leader.unclear
+    assert leader.limit() == 0
+    cell.crash()
+    assert cell.leader is not None
+    assert cell.leader.limit() == UNIT
--- a/tests/world.py
+++ b/tests/world.py
@@ -15,6 +15,7 @@
 from poppyhold.durable.store import (
     LEAD,
 )
+from poppyhold.options import Options
 from poppyhold.relay.mode import RelayMode
 from poppyhold.scale.jobs import ZONES, Data, build_data, submission, wire
 from poppyhold.scale.standins import CloudStandIn, StateStandIn, WorkerStandIn
@@ -31,6 +32,9 @@
 _PATIENCE_S = 4.0
 
 
+_DEFAULTS = Options()
+
+
 class InFlight(NamedTuple):
     """A report whose answer its worker waits for."""
 
@@ -64,7 +68,9 @@
         objectives: list[Objective] | None = None,
         relays: RelayMode = RelayMode.OFF,
         report_s: float = 1.0,
+        options: Options = _DEFAULTS,
     ) -> None:
+        self.options = options
         # Whether controllers relay reports; batches that come twice, and what they take beyond the usual.
         self.relays, self.relays_from = relays, 8.0
         self.batches_twice, self.batches_late_s = False, 0.0
@@ -131,6 +137,8 @@
         self.waiting_since: dict[str, float] = {}
         # Calls of the leaders' dearer steps, by name.
         self.work: Counter[str] = Counter()
+        # Hears of each step of a transfer of shares: who carries it out, and how far it is.
+        self.on_transfer_step: Callable[[SimNode, str], None] = lambda node, stage: None
         self.nodes = [SimNode(self, member) for member in self.members]
         # Share of reports of which a copy comes again; and whether copies are kept for the next leader.
         self.copied = 0.0
