Scale run of several cells: real controllers, leaders killed and frozen, links cut, limits checked

Need: the proof that shares hold with processes and sockets, where two cells start at the same instant. Change: a profile's field `cells` plays so many cells of its size, each a scale run with its own state service and cloud; bursts at all of them at the same instants, demand that wanders, leaders killed or frozen, links between cells cut in one direction or both. Over all cells it checks limits at each start, guarantees within 2.5 leases while links are up, and that stored shares and what is in transit add up, and measures waits, changes and use.

--- a/src/poppyhold/quota/cell_quota.py
+++ b/src/poppyhold/quota/cell_quota.py
@@ -95,6 +95,8 @@
         self._heard: dict[str, _Heard] = {}
         self._short_since: dict[str, float] = {}
         self._requests: dict[str, ShareRequest] = {}
+        # What is being taken, for the log as it is durable.
+        self._taking = ""
         self.alarms = Alarms()
         # Before they are known, shares let nothing start.
         for team, whole in self._wholes.items():
@@ -106,6 +108,9 @@
     def _commit(self, conditions: dict[str, int], writes: list[Data], done: Callable[[bool], None]) -> None:
         def durable(result: bool) -> None:
             done(result)
+            if result and self._taking:
+                log.info("%s", self._taking)
+            self._taking = ""
             # Other cells wait to hear of it.
             self._prepare_requests()
 
@@ -214,8 +219,10 @@
             return
         self.book.check_peer(reply.cell, reply.incarnation)
         if reply.transfer is not None and self.book.receive(reply.cell, reply.incarnation, reply.transfer):
-            amount = _in_words(reply.transfer.amount)
-            log.info("team %s: takes %s from cell %s", reply.transfer.team, amount, reply.cell)
+            team, amount = reply.transfer.team, _in_words(reply.transfer.amount)
+            now = self._ctx.clock()
+            waited_s = now - self._short_since.get(team, now)
+            self._taking = f"team {team}: took {amount} from cell {reply.cell}, asked for {waited_s:.3f} s"
 
     def _note_view(self, cell: str, view: CellView | None) -> None:
         if view is not None:
--- a/src/poppyhold/scale/__main__.py
+++ b/src/poppyhold/scale/__main__.py
@@ -14,6 +14,7 @@
 import uvloop
 from rich.console import Console
 
+from poppyhold.scale.cells import CellsResult, play_cells, print_cells_result
 from poppyhold.scale.profile import Profile, ProfileError, built_in, load_profile
 from poppyhold.scale.result import Result, print_result
 from poppyhold.scale.run import StoppedError, play
@@ -32,9 +33,13 @@
     return parser
 
 
-async def _interruptible(profile: Profile, seed: int, folder: Path) -> Result:
+async def _interruptible(profile: Profile, seed: int, folder: Path) -> Result | CellsResult:
     """Play; an interrupt ends the run in order, and its result says so."""
-    run = asyncio.ensure_future(play(profile, seed, folder))
+    run: asyncio.Future[Result | CellsResult]
+    if profile.cells > 1:
+        run = asyncio.ensure_future(play_cells(profile, seed, folder))
+    else:
+        run = asyncio.ensure_future(play(profile, seed, folder))
     loop = asyncio.get_running_loop()
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, run.cancel)
@@ -63,7 +68,10 @@
             return 1
     if args.json is not None:
         args.json.write_bytes(msgspec.json.format(msgspec.json.encode(result)))
-    print_result(result, Console())
+    if isinstance(result, CellsResult):
+        print_cells_result(result, Console())
+    else:
+        print_result(result, Console())
     return 0 if result.ok else 1
 
 
--- /dev/null
+++ b/src/poppyhold/scale/cell_checks.py
@@ -0,0 +1,159 @@
+"""What must hold over all cells: limits at each instant, guarantees within a bound, shares that add up."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from poppyhold.durable.store import QUOTA
+from poppyhold.quota.messages import CellView, PeerView, TeamView
+from poppyhold.quota.records import IDENTITY, PEER, SHARE, IdentityRecord, PeerRecord, ShareRecord
+from poppyhold.quota.totals import problems, transfers_in_transit
+from poppyhold.scale.checks import RuleChecks
+from poppyhold.scale.run import ScaleRun
+from poppyhold.scale.standins import StateStandIn
+from poppyhold.wire.messages import convert
+
+_SLACK = 1e-6
+_MOST_KEPT = 50
+_LARGEST_PAGE = 1000
+
+
+class GuaranteeBound(NamedTuple):
+    """How long a team may be below its guarantee while its work waits and fits, and that guarantee."""
+
+    seconds: float
+    guarantees: dict[str, float]
+
+
+def stored_view(state: StateStandIn) -> CellView:
+    """A cell's shares as they are stored."""
+    entries = state.scan(QUOTA, "", _LARGEST_PAGE)[1]["entries"]
+    cell = incarnation = ""
+    teams, peers = [], []
+    for entry in entries:
+        key, data = entry["key"], entry["data"]
+        if key == IDENTITY:
+            identity = convert(data, IdentityRecord)
+            cell, incarnation = identity.cell, identity.incarnation
+        elif key.startswith(SHARE):
+            record = convert(data, ShareRecord)
+            teams.append(TeamView(record.team, record.share, record.whole))
+        elif key.startswith(PEER):
+            peer = convert(data, PeerRecord)
+            peers.append(PeerView(key.removeprefix(PEER), peer.sent, peer.applied, peer.in_transit))
+    return CellView(cell, incarnation, teams, peers)
+
+
+class CellChecks:
+    """Looks at all cells at one instant; what breaks a rule fails the run."""
+
+    def __init__(
+        self,
+        runs: Sequence[ScaleRun],
+        limits: dict[str, float],
+        bound: GuaranteeBound,
+        clock: Callable[[], float],
+    ) -> None:
+        self._runs, self._limits, self._bound, self._clock = runs, limits, bound, clock
+        self.broken: list[str] = []
+        self.broken_count = 0
+        # Until then a trouble may hold up shares.
+        self.troubled_until = float("-inf")
+        self._below_since: dict[str, float] = {}
+        self.longest_below_s = 0.0
+        # Sums of what was in use and of limits, while work waited for either.
+        self._used_sum = self._limit_sum = 0.0
+
+    def _break(self, text: str) -> None:
+        self.broken_count += 1
+        if len(self.broken) < _MOST_KEPT:
+            self.broken.append(text)
+
+    @property
+    def part_in_use(self) -> float:
+        """The part of the limits in use, over the moments at which a team's work waited."""
+        return self._used_sum / self._limit_sum if self._limit_sum else 0.0
+
+    def clear(self) -> None:
+        """Begin the measured time."""
+        self._used_sum = self._limit_sum = 0.0
+
+    def started(self) -> None:
+        """A task started somewhere: the limits must hold at this instant."""
+        used: Counter[str] = Counter()
+        for run in self._runs:
+            used.update(run.checks.used)
+        if all(amount <= self._limits[team] + _SLACK for team, amount in used.items()):
+            return
+        # These are upper bounds: tasks that ended since the last count are still in them.
+        for run in self._runs:
+            run.checks.count()
+        self._check_limits(self._used())
+
+    def _used(self) -> Counter[str]:
+        used: Counter[str] = Counter()
+        for run in self._runs:
+            used.update(run.checks.used)
+        return used
+
+    def _check_limits(self, used: Counter[str]) -> None:
+        for team, amount in used.items():
+            if amount > self._limits[team] + _SLACK:
+                self._break(f"quota over all cells: {team} uses {amount:g} of {self._limits[team]:g}")
+
+    def look(self) -> None:
+        """Look at everything once."""
+        for run in self._runs:
+            run.checks.count()
+        used = self._used()
+        self._check_limits(used)
+        self._check_guarantees(used)
+        views = [stored_view(run.state.standin) for run in self._runs]
+        if all(view.teams for view in views):
+            for problem in problems({view.cell: view for view in views}):
+                self._break(f"shares: {problem}")
+
+    def in_transit(self) -> int:
+        """Transfers that have not reached who they are for."""
+        views = [stored_view(run.state.standin) for run in self._runs]
+        return len(transfers_in_transit({view.cell: view for view in views}))
+
+    def _check_guarantees(self, used: Counter[str]) -> None:
+        now = self._clock()
+        waiting = self._waiting()
+        for team, guaranteed in self._bound.guarantees.items():
+            if waiting[team]:
+                self._used_sum += used[team]
+                self._limit_sum += self._limits[team]
+            below = used[team] + 1 <= guaranteed and waiting[team] and now > self.troubled_until
+            if not below:
+                self._below_since.pop(team, None)
+                continue
+            below_s = now - self._below_since.setdefault(team, now)
+            self.longest_below_s = max(self.longest_below_s, below_s)
+            if below_s > self._bound.seconds:
+                self._break(f"guarantee: {team} uses {used[team]:g} of {guaranteed:g} for {below_s:.1f} s")
+
+    def _waiting(self) -> Counter[str]:
+        """Tasks that wait in a cell whose machines have room for one, by team."""
+        waiting: Counter[str] = Counter()
+        for run in self._runs:
+            room = max((worker.room(_ONE, 1) for worker in run.fleet.standins()), default=0)
+            if room:
+                waiting.update(_unstarted(run.checks))
+        return waiting
+
+
+# A task of one accelerator, the smallest that asks for a share of them.
+_ONE = {"cpus": 1.0, "accelerators": 1.0, "memGb": 1.0}
+
+
+def _unstarted(checks: RuleChecks) -> Counter[str]:
+    """Jobs with accelerators that are accepted and have no task on a machine and none done."""
+    waiting: Counter[str] = Counter()
+    for job_id, job in checks.jobs.items():
+        if job["accelerators"] and checks.waits(job_id):
+            waiting[job["crew"]] += 1
+    return waiting
--- /dev/null
+++ b/src/poppyhold/scale/cells.py
@@ -0,0 +1,282 @@
+"""A run of several cells: each is a scale run of its own, and they share the teams' limits."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import time
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+from poppyhold.scale.cell_checks import CellChecks, GuaranteeBound
+from poppyhold.scale.cell_links import CuttableLink, cut
+from poppyhold.scale.controllers import ControllerProcess, team_limits
+from poppyhold.scale.measure import Latency
+from poppyhold.scale.profile import Profile, Trouble
+from poppyhold.scale.result import Result, TroubleResult, print_result
+from poppyhold.scale.run import ScaleRun, StoppedError
+
+_LOOK_S, _WANDER_CHECK_S = 0.25, 0.2
+# The part of its arrivals that a cell gets while it is not its turn to get all of them.
+_OUT_OF_TURN = 0.15
+# Leases within which a guarantee is met: what a cell keeps back of what it used, the move, and a start.
+_GUARANTEE_LEASES = 2.5
+_TOOK = re.compile(r"took .* from cell \S+, asked for ([0-9.]+) s")
+
+
+class CellsResult(msgspec.Struct, kw_only=True):
+    """One run of several cells."""
+
+    profile: dict[str, Any]
+    seed: int
+    cells: list[Result]
+    # How long a cell had asked for what it then took, in seconds.
+    share_waits: dict[str, float]
+    moves: int
+    # Of the state services of all cells, for shares alone.
+    quota_changes: int
+    quota_commits: int
+    # Of the limits of teams whose work waits.
+    part_of_limits_in_use: float
+    longest_below_guarantee_s: float
+    guarantee_bound_s: float
+    in_transit_at_the_end: int
+    troubles: list[TroubleResult]
+    broken: list[str]
+    broken_count: int
+
+    @property
+    def ok(self) -> bool:
+        """Whether every cell's run passed, and nothing over all of them broke."""
+        return all(cell.ok for cell in self.cells) and not self.broken_count
+
+
+class CellsRun:
+    """All cells of one run, their links, and what must hold over all of them."""
+
+    def __init__(self, profile: Profile, seed: int, folder: Path) -> None:
+        self._profile, self._seed, self._folder = profile, seed, folder
+        alone = msgspec.structs.replace(profile, troubles=[])
+        self._runs = []
+        for index in range(profile.cells):
+            own = folder / _name(index)
+            own.mkdir()
+            self._runs.append(ScaleRun(alone, seed * profile.cells + index, own))
+        limits = team_limits(profile)
+        guarantees = {team: float(round(limit * profile.team_guarantee)) for team, limit in limits.items()}
+        self._bound = GuaranteeBound(_GUARANTEE_LEASES * profile.lease_s, guarantees)
+        self._checks = CellChecks(self._runs, limits, self._bound, time.monotonic)
+        # By the cells that a link leads from and to.
+        self._links: dict[tuple[int, int], list[CuttableLink]] = {}
+        self._troubles: list[TroubleResult] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def play(self) -> CellsResult:
+        """Play the profile, and end all that was started."""
+        try:
+            async with asyncio.timeout(self._profile.most_s):
+                await self._prepare()
+                await self._measure()
+                await self._calm_down()
+            return self._result()
+        except TimeoutError:
+            raise StoppedError(f"not over within most_s = {self._profile.most_s:g} s") from None
+        finally:
+            for task in self._tasks:
+                task.cancel()
+            for run in self._runs:
+                run.end()
+
+    # -- the parts -------------------------------------------------------------------------------------
+
+    async def _prepare(self) -> None:
+        await asyncio.gather(*(run.build() for run in self._runs))
+        await self._connect()
+        for run in self._runs:
+            run.on_started = self._checks.started
+        await asyncio.gather(*(run.begin() for run in self._runs))
+        for duty in (self._look(), self._wander(), self._burst()):
+            self._spawn(duty)
+        await self._wait(self._profile.warm_up_s)
+
+    async def _connect(self) -> None:
+        """Links from each cell to each controller of each other cell, and the files that name them."""
+        for source, run in enumerate(self._runs):
+            lines = [f'cells {{ name: "{_name(source)}" part: {self._part(source)}']
+            for target, other in enumerate(self._runs):
+                if source != target:
+                    addresses = await self._open(source, target, other.controllers.all)
+                    name = f'name: "{_name(target)}" part: {self._part(target)}'
+                    lines.append(f"  others {{ {name} {addresses} }}")
+            run.controllers.add_options("\n".join([*lines, "}\n"]))
+
+    async def _open(self, source: int, target: int, controllers: list[ControllerProcess]) -> str:
+        links = self._links[source, target] = [CuttableLink(each.back) for each in controllers]
+        for link in links:
+            await link.open()
+        pairs = zip(controllers, links, strict=True)
+        return " ".join(
+            f'controllers {{ member: "{each.member}" address: "127.0.0.1:{link.port}" }}'
+            for each, link in pairs
+        )
+
+    def _part(self, index: int) -> float:
+        """Equal parts in decimals, the first one with the rest."""
+        part = round(1 / self._profile.cells, 4)
+        return part if index else round(1 - part * (self._profile.cells - 1), 4)
+
+    # -- the load --------------------------------------------------------------------------------------
+
+    async def _wander(self) -> None:
+        """One cell after the other gets most of what arrives."""
+        began_at = time.monotonic()
+        while self._profile.wander_s > 0:
+            turn = int((time.monotonic() - began_at) / self._profile.wander_s) % len(self._runs)
+            for index, run in enumerate(self._runs):
+                run.users.part_of_arrivals = 1.0 if index == turn else _OUT_OF_TURN
+            await asyncio.sleep(_WANDER_CHECK_S)
+
+    async def _burst(self) -> None:
+        """Users of all cells submit at the same instants."""
+        while self._profile.burst_jobs > 0:
+            for run in self._runs:
+                run.users.burst(self._profile.burst_jobs)
+            await asyncio.sleep(self._profile.burst_every_s)
+
+    async def _look(self) -> None:
+        while True:
+            self._checks.look()
+            await asyncio.sleep(_LOOK_S)
+
+    # -- measuring -------------------------------------------------------------------------------------
+
+    async def _measure(self) -> None:
+        for run in self._runs:
+            run.clear()
+        self._checks.clear()
+        began_at = time.monotonic()
+        for trouble in sorted(self._profile.troubles, key=lambda trouble: trouble.at_s):
+            await self._wait(began_at + trouble.at_s - time.monotonic())
+            await self._cause(trouble)
+        await self._wait(began_at + self._profile.measured_s - time.monotonic())
+
+    async def _cause(self, trouble: Trouble) -> None:
+        over_at = time.monotonic() + trouble.away_s + 2 * self._profile.lease_s
+        self._checks.troubled_until = max(self._checks.troubled_until, over_at)
+        if trouble.kind.startswith("cut_links"):
+            self._cut(trouble)
+        else:
+            await self._runs[trouble.cell].cause(trouble)
+
+    def _cut(self, trouble: Trouble) -> None:
+        """Cut the way from a cell to the next one, or both ways."""
+        source, target = trouble.cell, (trouble.cell + 1) % len(self._runs)
+        ways = [(source, target)]
+        if trouble.kind == "cut_links":
+            ways.append((target, source))
+        for way in ways:
+            cut(self._links, *way, passes=False)
+        self._troubles.append(
+            TroubleResult(trouble.kind, trouble.at_s, f"{_name(source)} to {_name(target)}")
+        )
+
+        async def heal() -> None:
+            await asyncio.sleep(trouble.away_s)
+            for way in ways:
+                cut(self._links, *way, passes=True)
+
+        self._spawn(heal())
+
+    async def _calm_down(self) -> None:
+        """No more load or links that are cut: what is on its way arrives."""
+        self._profile = msgspec.structs.replace(self._profile, burst_jobs=0)
+        for source, target in self._links:
+            cut(self._links, source, target, passes=True)
+        for run in self._runs:
+            run.users.part_of_arrivals = 0.0
+        await self._until(lambda: not self._checks.in_transit(), 3 * self._profile.lease_s)
+        self._checks.look()
+
+    async def _until(self, holds: Callable[[], bool], most_s: float) -> None:
+        until = time.monotonic() + most_s
+        while not holds() and time.monotonic() < until:
+            await self._wait(_LOOK_S)
+
+    # -- duties ----------------------------------------------------------------------------------------
+
+    def _spawn(self, duty: Coroutine[Any, Any, None]) -> None:
+        self._tasks.add(asyncio.create_task(duty))
+
+    async def _wait(self, seconds: float) -> None:
+        """Wait in all cells; a duty that failed anywhere ends the run."""
+        await asyncio.gather(*(run.wait(seconds) for run in self._runs))
+        for task in self._tasks:
+            if task.done() and (error := task.exception()) is not None:
+                raise error
+
+    def _share_waits(self) -> Latency:
+        waits = Latency()
+        for log in sorted(self._folder.glob("*/*.log")):
+            for line in log.read_text(encoding="utf-8", errors="replace").splitlines():
+                found = _TOOK.search(line)
+                if found is not None:
+                    waits.note(float(found.group(1)))
+        return waits
+
+    def _result(self) -> CellsResult:
+        waits = self._share_waits().summary()
+        in_transit = self._checks.in_transit()
+        broken = list(self._checks.broken)
+        if in_transit:
+            broken.append(f"{in_transit} transfers are in transit at the end")
+        return CellsResult(
+            profile=msgspec.to_builtins(self._profile),
+            seed=self._seed,
+            cells=[run.result() for run in self._runs],
+            share_waits=waits,
+            moves=int(waits["count"]),
+            quota_changes=sum(run.state.quota_writes for run in self._runs),
+            quota_commits=sum(run.state.quota_commits for run in self._runs),
+            part_of_limits_in_use=self._checks.part_in_use,
+            longest_below_guarantee_s=self._checks.longest_below_s,
+            guarantee_bound_s=self._bound.seconds,
+            in_transit_at_the_end=in_transit,
+            troubles=self._troubles,
+            broken=broken,
+            broken_count=self._checks.broken_count + bool(in_transit),
+        )
+
+
+def _name(index: int) -> str:
+    return f"cell-{index}"
+
+
+async def play_cells(profile: Profile, seed: int, folder: Path) -> CellsResult:
+    """Play a profile of several cells with its files in ``folder``."""
+    # Connections that break as the run ends are nothing to tell of.
+    asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+    return await CellsRun(profile, seed, folder).play()
+
+
+def print_cells_result(result: CellsResult, console: Console) -> None:
+    """Show a run in the terminal."""
+    for cell in result.cells:
+        print_result(cell, console)
+    table = Table("over all cells", "value")
+    for name in ("count", "p50", "p95", "p99", "max"):
+        table.add_row(f"wait for an asked share, {name}", f"{result.share_waits.get(name, 0.0):.3f}")
+    table.add_row("changes for shares", str(result.quota_changes))
+    table.add_row("part of the limits in use while work waits", f"{result.part_of_limits_in_use:.3f}")
+    below = f"{result.longest_below_guarantee_s:.1f} (bound {result.guarantee_bound_s:.1f})"
+    table.add_row("longest below a guarantee, s", below)
+    console.print(table)
+    for trouble in result.troubles:
+        console.print(f"{trouble.kind} at {trouble.at_s:.0f} s: {trouble.what}")
+    for line in result.broken:
+        console.print(f"BROKEN {line}", style="red")
+    console.print("ok over all cells" if result.ok else "FAILED over all cells")
--- a/src/poppyhold/scale/checks.py
+++ b/src/poppyhold/scale/checks.py
@@ -32,6 +32,8 @@
         self._cancelled_at: dict[str, float] = {}
         self._told: dict[str, str] = {}
         self._finished: Counter[str] = Counter()
+        # Jobs that had a task on a machine.
+        self._begun: set[str] = set()
         self._placed: dict[str, WorkerStandIn] = {}
         # Upper bounds of what teams use, from the last exact count on.
         self._used: Counter[str] = Counter()
@@ -50,6 +52,7 @@
         if before is not None and before is not worker and not before.gone and task in before.on_machine():
             self._break(f"ran_twice: {task} on {before.name} and {worker.name}")
         self._placed[task] = worker
+        self._begun.add(job_id)
         job = self.jobs[job_id]
         team = job["crew"]
         self._used[team] += job["accelerators"]
@@ -63,6 +66,11 @@
         self._placed.pop(task, None)
         self._finished[task.rpartition("/")[0]] += 1
 
+    @property
+    def used(self) -> Counter[str]:
+        """What each team uses at the most: as of the last count, and all that was started since."""
+        return self._used
+
     def count(self) -> int:
         """Count every task on every machine; returns how many there are."""
         used: Counter[str] = Counter()
@@ -106,6 +114,10 @@
             self._cancelled_at.setdefault(job_id, self._clock())
         self._told[job_id] = told
 
+    def waits(self, job_id: str) -> bool:
+        """Whether a job is accepted, not over, and had no task on a machine yet."""
+        return self._told.get(job_id) == "pending" and job_id not in self._begun
+
     def is_final(self, job_id: str) -> bool:
         """Whether its user was told that the job is over."""
         return self._told.get(job_id) in _FINAL
--- a/src/poppyhold/scale/controllers.py
+++ b/src/poppyhold/scale/controllers.py
@@ -6,6 +6,7 @@
 import contextlib
 import os
 import random
+import signal
 import socket
 import subprocess
 import sys
@@ -115,6 +116,16 @@
         for link in self.links.values():
             link.close()
 
+    def freeze(self) -> None:
+        """Let the process stand still."""
+        if self._process is not None:
+            self._process.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let it go on, if it stands still."""
+        if self._process is not None:
+            self._process.send_signal(signal.SIGCONT)
+
     def note_end(self) -> bool:
         """Whether the process ended by itself since the last call."""
         if self._process is None or self._process.poll() is None:
@@ -146,6 +157,11 @@
             text = self._settings(controller, state_port, cloud_port)
             controller.settings.write_text(text, encoding="utf-8")
 
+    def add_options(self, text: str) -> None:
+        """Add to the operators' settings of every controller that starts from now on."""
+        with self._options.open("a", encoding="utf-8") as options:
+            options.write(text)
+
     @property
     def ports(self) -> dict[str, int]:
         """The port of each controller for users and workers."""
@@ -213,7 +229,9 @@
             f"zones = [{zones}]",
         ]
         for team, limit in team_limits(profile).items():
+            guaranteed = round(limit * profile.team_guarantee)
             lines += ["[[settings.teams]]", f'name = "{team}"', f"gpus_max = {limit}"]
+            lines += [f"gpus = {guaranteed}"]
         lines += [
             *_section(
                 "workers", report_s=profile.report_s, lease_s=profile.lease_s, cancel_s=profile.cancel_s
@@ -245,8 +263,9 @@
 
 
 def team_limits(profile: Profile) -> dict[str, float]:
-    """Accelerators that each team may use at most."""
+    """Accelerators that each team may use at most, in all cells together."""
     shapes = profile.machine_types
-    accelerators = sum(shape.accelerators * shape.share for shape in shapes) * profile.workers
+    each_worker = sum(shape.accelerators * shape.share for shape in shapes)
+    accelerators = each_worker * profile.workers * profile.cells
     limit = max(1.0, round(accelerators * profile.team_limit / profile.teams))
     return {f"team-{index}": limit for index in range(profile.teams)}
--- a/src/poppyhold/scale/outside.py
+++ b/src/poppyhold/scale/outside.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from http import HTTPStatus
 
+from poppyhold.durable.store import QUOTA
 from poppyhold.scale.profile import StateLimits
 from poppyhold.scale.routes import cloud_route, parse_query, state_route
 from poppyhold.scale.standins import CloudStandIn, StateStandIn
@@ -47,13 +48,15 @@
         self.server = HttpServer(self._handle)
         self.requests: Counter[str] = Counter()
         self.writes = 0
+        # Changes of shares of teams' limits, and the transactions that hold any.
+        self.quota_writes = self.quota_commits = 0
         self.refused: Counter[str] = Counter()
 
     def clear(self) -> None:
         """Begin the measured time."""
         self.requests.clear()
         self.refused.clear()
-        self.writes = self.server.bytes = 0
+        self.writes = self.server.bytes = self.quota_writes = self.quota_commits = 0
 
     async def _handle(self, method: str, path: str, body: bytes) -> Status:
         kind = f"{method} {path.partition('?')[0].split('/')[1]}"
@@ -62,16 +65,24 @@
             self.refused["requests"] += 1
             return HTTPStatus.TOO_MANY_REQUESTS, {}
         if path == "/commit":
-            changes = len(decode(body).get("writes", []))
+            writes = decode(body).get("writes", [])
+            changes = len(writes)
             if not self._writes.take(changes):
                 self.refused["changes"] += 1
                 return HTTPStatus.TOO_MANY_REQUESTS, {}
             self.writes += changes
+            self._note_quota(writes)
         if path.startswith("/follow"):
             return await self._follow(parse_query(path)[1])
         await asyncio.sleep(self._latency_s * self._rng.uniform(0.5, 2.0))
         return state_route(self.standin, method, path, body)
 
+    def _note_quota(self, writes: list[dict[str, object]]) -> None:
+        """Count what is written of shares."""
+        count = sum(str(write.get("set")).startswith(QUOTA) for write in writes)
+        self.quota_writes += count
+        self.quota_commits += count > 0
+
     async def _follow(self, asked: dict[str, str]) -> Status:
         until = time.monotonic() + float(asked.get("holdMs", 0)) / 1000
         seen = int(asked["since"])
--- a/src/poppyhold/scale/profile.py
+++ b/src/poppyhold/scale/profile.py
@@ -47,11 +47,13 @@
     """Something that happens at a moment of the measured time."""
 
     at_s: float
-    kind: Literal["kill_leader", "restart_workers"]
+    kind: Literal["kill_leader", "restart_workers", "freeze_leader", "cut_links", "cut_links_one_way"]
     # Share of the workers that restart.
     share: float = 0.1
-    # How long a killed controller or a restarted worker is away.
+    # How long a killed or frozen controller, a restarted worker or the links of a cell are away.
     away_s: float = 5.0
+    # Of several cells, the one that it is about.
+    cell: int = 0
 
 
 class StateLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -84,6 +86,15 @@
     teams: int = 4
     # Accelerators that each team may use at most, as a ratio to an equal share of the fleet's.
     team_limit: float = 2.0
+    # The part of that limit which is guaranteed.
+    team_guarantee: float = 0.0
+    # Cells of this size that share the teams' limits; each has its own controllers and state service.
+    cells: int = 1
+    # Of several cells, one after the other gets most arrivals, for so long each; 0: all alike.
+    wander_s: float = 0.0
+    # The first class of jobs also comes in bursts of so many, in all cells at the same instant.
+    burst_jobs: int = 0
+    burst_every_s: float = 10.0
     report_s: float = 2.5
     lease_s: float = 15.25
     cancel_s: float = 45.25
@@ -106,6 +117,11 @@
     "controllers": (1, 16),
     "teams": (1, 1_000),
     "team_limit": (0.01, 1_000.0),
+    "team_guarantee": (0.0, 1.0),
+    "cells": (1, 8),
+    "wander_s": (0.0, 3_600.0),
+    "burst_jobs": (0, 10_000),
+    "burst_every_s": (0.5, 3_600.0),
     "report_s": (0.5, 60.0),
     "lease_s": (2.0, 600.0),
     "cancel_s": (4.0, 1_200.0),
@@ -154,8 +170,16 @@
     for index, job in enumerate(profile.jobs):
         _check_job(f"jobs[{index}]", job, profile)
     for index, trouble in enumerate(profile.troubles):
-        if not 0 <= trouble.at_s <= profile.measured_s:
-            raise ValueError(f"troubles[{index}].at_s: must be within the measured time")
+        _check_trouble(f"troubles[{index}]", trouble, profile)
+
+
+def _check_trouble(where: str, trouble: Trouble, profile: Profile) -> None:
+    if not 0 <= trouble.cell < profile.cells:
+        raise ValueError(f"{where}.cell: there are {profile.cells} cells")
+    if trouble.kind.startswith("cut_links") and profile.cells == 1:
+        raise ValueError(f"{where}.kind: one cell has no links")
+    if not 0 <= trouble.at_s <= profile.measured_s:
+        raise ValueError(f"{where}.at_s: must be within the measured time")
 
 
 def _check_job(where: str, job: JobClass, profile: Profile) -> None:
--- a/src/poppyhold/scale/run.py
+++ b/src/poppyhold/scale/run.py
@@ -7,7 +7,7 @@
 import random
 import sys
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -56,6 +56,8 @@
         self._processors = psutil.cpu_times()
         self._bytes_before = 0
         self._background: set[asyncio.Task[None]] = set()
+        # Called behind each start of a task: what must hold over several cells is checked then.
+        self.on_started: Callable[[], None] = lambda: None
         self.controllers: Controllers
         self.fleet: Fleet
         self.users: Users
@@ -76,12 +78,18 @@
         except asyncio.CancelledError:
             self._stopped = "interrupted"
         finally:
-            result = self._result()
-            self._end()
+            result = self.result()
+            self.end()
         return result
 
     async def _prepare(self) -> None:
         """Start everything, and let the load settle."""
+        await self.build()
+        await self.begin()
+        await self.wait(self.profile.warm_up_s)
+
+    async def build(self) -> None:
+        """Make all parts; of the processes none runs yet."""
         state_port = await self.state.server.start()
         # The cloud's port is needed for the settings, and the controllers' ports for the workers.
         self.fleet = Fleet(
@@ -96,6 +104,9 @@
         self.controllers = Controllers(self.profile, self._folder, state_port, cloud_port)
         nodes.update(self.controllers.ports)
         self.users = Users(self.profile, nodes, self.checks, self._rng)
+
+    async def begin(self) -> None:
+        """Start the processes, the workers and the load."""
         await asyncio.gather(*(self.controllers.start(each) for each in self.controllers.all))
         self._spawn(self._watch_processes())
         await asyncio.gather(*(self.controllers.ready(each) for each in self.controllers.all))
@@ -103,10 +114,18 @@
         await self.fleet.boot()
         for duty in (self.fleet.run(), self._count(), self._watch_loop(), self.users.run()):
             self._spawn(duty)
-        await self._wait(self.profile.warm_up_s)
 
     async def _measure(self) -> None:
         """The measured time, with its troubles."""
+        self.clear()
+        began_at = time.monotonic()
+        for trouble in sorted(self.profile.troubles, key=lambda trouble: trouble.at_s):
+            await self.wait(began_at + trouble.at_s - time.monotonic())
+            await self.cause(trouble)
+        await self.wait(began_at + self.profile.measured_s - time.monotonic())
+
+    def clear(self) -> None:
+        """Begin the measured time."""
         self.users.clear()
         self.fleet.figures.clear()
         self.state.clear()
@@ -118,14 +137,11 @@
         self._measured_at = time.monotonic()
         # Who leads as it begins is noted as one that led.
         self._leader()
-        for trouble in sorted(self.profile.troubles, key=lambda trouble: trouble.at_s):
-            await self._wait(self._measured_at + trouble.at_s - time.monotonic())
-            await self._cause(trouble)
-        await self._wait(self._measured_at + self.profile.measured_s - time.monotonic())
 
     # -- troubles ----------------------------------------------------------------------------------
 
-    async def _cause(self, trouble: Trouble) -> None:
+    async def cause(self, trouble: Trouble) -> None:
+        """Let something happen."""
         if trouble.kind == "restart_workers":
             count = self.fleet.restart_share(trouble.share, trouble.away_s)
             self._troubles.append(TroubleResult(trouble.kind, trouble.at_s, f"{count} workers"))
@@ -135,6 +151,11 @@
             self._troubles.append(TroubleResult(trouble.kind, trouble.at_s, "nobody led"))
             return
         controller = self.controllers.named(member)
+        if trouble.kind == "freeze_leader":
+            self._troubles.append(TroubleResult(trouble.kind, trouble.at_s, member))
+            controller.freeze()
+            self._spawn(self._thaw(controller, trouble.away_s))
+            return
         controller.kill()
         result = TroubleResult(trouble.kind, trouble.at_s, member)
         self._troubles.append(result)
@@ -152,6 +173,11 @@
             await asyncio.sleep(_WATCH_S)
         result.without_answers_s = time.monotonic() - killed_at
 
+    @staticmethod
+    async def _thaw(controller: ControllerProcess, away_s: float) -> None:
+        await asyncio.sleep(away_s)
+        controller.thaw()
+
     async def _bring_back(self, controller: ControllerProcess, away_s: float) -> None:
         await asyncio.sleep(away_s)
         await self.controllers.start(controller)
@@ -169,7 +195,7 @@
         task = asyncio.create_task(duty)
         self._background.add(task)
 
-    async def _wait(self, seconds: float) -> None:
+    async def wait(self, seconds: float) -> None:
         """Wait; a duty that failed, or a bound that was met, ends the run."""
         until = time.monotonic() + seconds
         while (left := until - time.monotonic()) > 0:
@@ -181,6 +207,7 @@
     def _task_started(self, worker: WorkerStandIn, task: str) -> None:
         self.checks.started(worker, task)
         self.users.task_started(task)
+        self.on_started()
 
     async def _count(self) -> None:
         while True:
@@ -230,7 +257,8 @@
 
     # -- the end -----------------------------------------------------------------------------------
 
-    def _end(self) -> None:
+    def end(self) -> None:
+        """End everything that was started."""
         for task in self._background:
             task.cancel()
         if hasattr(self, "users"):
@@ -252,7 +280,8 @@
         stolen = getattr(now, "steal", 0.0) - getattr(self._processors, "steal", 0.0)
         return stolen / total if total > 0 else 0.0
 
-    def _result(self) -> Result:
+    def result(self) -> Result:
+        """What was found so far."""
         if not hasattr(self, "users"):
             raise StoppedError(self._stopped or "did not start")
         began = self._measured_at or time.monotonic()
--- a/src/poppyhold/scale/users.py
+++ b/src/poppyhold/scale/users.py
@@ -33,6 +33,8 @@
         self._slots = asyncio.Semaphore(_CONNECTIONS)
         self._count = 0
         self._tasks: set[asyncio.Task[None]] = set()
+        # The part of the arrivals that come here now; of several cells one has most of them at a time.
+        self.part_of_arrivals = 1.0
         self._sent_at: dict[str, float] = {}
         self._begun: set[str] = set()
         self.submissions, self.polls = Latency(), Latency()
@@ -77,7 +79,13 @@
     async def _arrive(self, job: JobClass) -> None:
         while True:
             await asyncio.sleep(self._rng.expovariate(job.per_second))
-            self._begin(job)
+            if self._rng.random() < self.part_of_arrivals:
+                self._begin(job)
+
+    def burst(self, count: int) -> None:
+        """So many jobs of the first class come at one instant."""
+        for _ in range(count):
+            self._begin(self._profile.jobs[0])
 
     def _begin(self, job: JobClass) -> None:
         self._count += 1
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import re
 import signal
 import subprocess
 import sys
@@ -15,6 +16,7 @@
 import pytest
 
 from poppyhold.scale.__main__ import main
+from poppyhold.scale.cells import CellsResult
 from poppyhold.scale.checks import RuleChecks
 from poppyhold.scale.jobs import build_data, submission
 from poppyhold.scale.outside import RateLimit
@@ -205,3 +207,67 @@
 def test_rate_limits_refuse_what_is_above_them() -> None:
     limit = RateLimit(1e-6, 3e6)
     assert [limit.take() for _ in range(4)] == [True, True, True, False]
+
+
+# -- several cells -------------------------------------------------------------------------------------
+
+
+def _cells(folder: Path, **changes: object) -> CellsResult:
+    """The result of the small profile of several cells."""
+    written, own = folder / "result.json", folder / "cells.toml"
+    text = (PROFILES / "cells_small.toml").read_text()
+    for field, value in changes.items():
+        text = re.sub(rf"(?ms)^{field} = .*?(?=^\w+ = |^\[|\Z)", f"{field} = {value}\n", text, count=1)
+    own.write_text(text)
+    main([str(own), "--json", str(written)])
+    return msgspec.json.decode(written.read_bytes(), type=CellsResult)
+
+
+def test_cells_hold_limits_while_leaders_and_links_fail(tmp_path: Path) -> None:
+    """A leader is killed, one frozen, a way between two cells cut: shares move, no limit is passed."""
+    result = _cells(tmp_path)
+    assert result.broken == []
+    assert result.ok
+    assert result.moves > 0
+    assert result.in_transit_at_the_end == 0
+    assert [trouble.kind for cell in result.cells for trouble in cell.troubles] == [
+        "kill_leader",
+        "freeze_leader",
+    ]
+    assert [trouble.kind for trouble in result.troubles] == ["cut_links_one_way"]
+
+
+def test_the_checker_of_cells_finds_a_build_without_shares(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Controllers that plan starts against the whole limit, whatever their share is, are found out."""
+    build = tmp_path / "build"
+    build.mkdir()
+    patch = "from poppyhold.scheduling.quotas import Quotas\nQuotas.set = lambda self, team, quota: None\n"
+    (build / "sitecustomize.py").write_text(patch)
+    # Controllers inherit the path that modules are loaded from.
+    monkeypatch.syspath_prepend(str(build))
+    result = _cells(tmp_path, troubles="[]", measured_s="8.0")
+    assert any(line.startswith("quota over all cells") for line in result.broken)
+    assert not result.ok
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        ("cells = 99", "cells"),
+        ("team_guarantee = 2.0", "team_guarantee"),
+        ("troubles = [{ at_s = 1.0, kind = 'kill_leader', cell = 3 }]", "troubles[0].cell"),
+        ("cells = 1\ntroubles = [{ at_s = 1.0, kind = 'cut_links' }]", "troubles[0].kind"),
+    ],
+)
+def test_a_bad_profile_of_cells_is_named(change: str, named: str, tmp_path: Path) -> None:
+    sound = (PROFILES / "cells_small.toml").read_text()
+    text = re.sub(r"(?ms)^troubles = \[.*?^\]\n", "", sound)
+    for line in change.splitlines():
+        text = re.sub(rf"(?m)^{line.split(' = ')[0]} = .*\n", "", text)
+    bad = tmp_path / "bad.toml"
+    bad.write_text(f"{change}\n{text}")
+    with pytest.raises(ProfileError) as caught:
+        load_profile(str(bad))
+    assert named in str(caught.value)
