Scale run: no port is given twice

Cause: a run of three cells drew two of its fifty ports alike, one controller could not listen and ended each second (a trial; it was stopped). free_port looked only whether somebody listened at that moment. Change: what was given is remembered. Result: its test draws 20 of 40 ports, none twice.

--- a/src/poppyhold/scale/controllers.py
+++ b/src/poppyhold/scale/controllers.py
@@ -21,16 +21,22 @@
 _POLL_S = 0.05
 _END_S = 5.0
 _PORTS = range(15_000, 32_000)
+_given_ports: set[int] = set()
 
 
 def free_port() -> int:
     """A loopback port that nobody listens on, below those that systems give to outgoing connections.
 
-    A port from among those was taken by some connection before its listener came to it.
+    A port from among those was taken by some connection before its listener came to it. None is given twice:
+    of some fifty that several cells need at once, two were the same in one run, and one controller never
+    began.
     """
     for port in random.sample(_PORTS, len(_PORTS)):
+        if port in _given_ports:
+            continue
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
+            _given_ports.add(port)
             return port
     raise OSError("no port is free")
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -18,6 +18,7 @@
 from poppyhold.scale.__main__ import main
 from poppyhold.scale.cells import CellsResult
 from poppyhold.scale.checks import RuleChecks
+from poppyhold.scale.controllers import free_port
 from poppyhold.scale.jobs import build_data, submission
 from poppyhold.scale.outside import RateLimit
 from poppyhold.scale.profile import PROFILES, ProfileError, built_in, load_profile
@@ -271,3 +272,10 @@
     with pytest.raises(ProfileError) as caught:
         load_profile(str(bad))
     assert named in str(caught.value)
+
+
+def test_no_port_is_given_twice(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("poppyhold.scale.controllers._PORTS", range(15_000, 15_040))
+    monkeypatch.setattr("poppyhold.scale.controllers._given_ports", set())
+    given = [free_port() for _ in range(20)]
+    assert len(set(given)) == len(given)
