--- a/src/poppyhold/scale/__main__.py
+++ b/src/poppyhold/scale/__main__.py
@@ -28,6 +28,7 @@
     parser.add_argument("profile", help=f"a TOML file, or one of: {', '.join(built_in())}")
     parser.add_argument("--seed", type=int, default=1, help="what the load is drawn from")
     parser.add_argument("--relays", choices=("auto", "off", "forced"), help="instead of the profile's own")
+    parser.add_argument("--cells", type=int, help="instead of the profile's own; 1: without shares of limits")
     parser.add_argument("--json", metavar="FILE", type=Path, help="write the result here")
     parser.add_argument("--logs", metavar="DIR", type=Path, help="keep settings and logs of controllers here")
     return parser
@@ -36,7 +37,7 @@
 async def _interruptible(profile: Profile, seed: int, folder: Path) -> Result | CellsResult:
     """Play; an interrupt ends the run in order, and its result says so."""
     run: asyncio.Future[Result | CellsResult]
-    if profile.cells > 1:
+    if profile.cells > 1 or profile.burst_jobs:
         run = asyncio.ensure_future(play_cells(profile, seed, folder))
     else:
         run = asyncio.ensure_future(play(profile, seed, folder))
@@ -56,6 +57,8 @@
         return 2
     if args.relays is not None:
         profile = msgspec.structs.replace(profile, relays=args.relays)
+    if args.cells is not None:
+        profile = msgspec.structs.replace(profile, cells=args.cells, troubles=[])
     with tempfile.TemporaryDirectory(prefix="poppyhold-scale-") as temporary:
         folder = args.logs or Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
--- a/src/poppyhold/scale/cell_links.py
+++ b/src/poppyhold/scale/cell_links.py
@@ -6,8 +6,6 @@
 
 from poppyhold.scale.controllers import Link
 
-_PIECE = 64 * 1024
-
 
 class CuttableLink(Link):
     """What the controllers of one cell send to a controller of another goes through here.
@@ -23,29 +21,12 @@
         self.asking.set()
         self.answering.set()
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            there, back = await asyncio.open_connection("127.0.0.1", self._target)
-        except OSError:
-            writer.close()
-            return
-        await asyncio.gather(self._pass(reader, back, self.asking), self._pass(there, writer, self.answering))
-
-    async def _pass(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, way: asyncio.Event
-    ) -> None:
-        try:
-            while data := await reader.read(_PIECE):
-                if not way.is_set():
-                    await way.wait()
-                    return
-                self.bytes += len(data)
-                writer.write(data)
-                await writer.drain()
-        except OSError:
-            return
-        finally:
-            writer.close()
+    async def _may_pass(self, is_question: bool) -> bool:
+        way = self.asking if is_question else self.answering
+        if way.is_set():
+            return True
+        await way.wait()
+        return False
 
 
 def cut(links: dict[tuple[int, int], list[CuttableLink]], source: int, target: int, passes: bool) -> None:
--- a/src/poppyhold/scale/cells.py
+++ b/src/poppyhold/scale/cells.py
@@ -106,6 +106,8 @@
 
     async def _connect(self) -> None:
         """Links from each cell to each controller of each other cell, and the files that name them."""
+        if len(self._runs) == 1:
+            return
         for source, run in enumerate(self._runs):
             lines = [f'cells {{ name: "{_name(source)}" part: {self._part(source)}']
             for target, other in enumerate(self._runs):
--- a/src/poppyhold/scale/controllers.py
+++ b/src/poppyhold/scale/controllers.py
@@ -71,11 +71,21 @@
         except OSError:
             writer.close()
             return
-        await asyncio.gather(self._pump(reader, back), self._pump(there, writer))
+        await asyncio.gather(
+            self._pump(reader, back, is_question=True), self._pump(there, writer, is_question=False)
+        )
 
-    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _may_pass(self, is_question: bool) -> bool:
+        """Whether what was read may go on; if not, its connection ends."""
+        return True
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_question: bool
+    ) -> None:
         try:
             while data := await reader.read(_PIECE):
+                if not await self._may_pass(is_question):
+                    return
                 self.bytes += len(data)
                 writer.write(data)
                 await writer.drain()
--- a/tests/quota_model.py
+++ b/tests/quota_model.py
@@ -288,3 +288,18 @@
             for peer, record in cell.durable().book.peers.items()
             if record.in_transit is not None
         ]
+
+
+# -- guards taken out ----------------------------------------------------------------------------------
+
+
+def always_next(before: object, transfer: object) -> bool:
+    """Every transfer is taken for the next one."""
+    return True
+
+
+def join_at_once(
+    self: ShareBook, raised: object, link: object, peer: object, durable: Callable[[], None]
+) -> None:
+    """What is taken counts before it is durable."""
+    durable()
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from guards import take_out
 from poppyhold.durable.committer import Writer
 from poppyhold.durable.store import LEAD, Data
 from poppyhold.model.fleet import NOTHING, Fleet, Room
@@ -13,6 +14,7 @@
 from poppyhold.quota.demand import DemandMonitor, ResourceDemand
 from poppyhold.quota.share_book import ShareBook
 from poppyhold.scheduling.quotas import Quotas, TeamQuota
+from quota_model import always_next, join_at_once
 from scenario import FOLDER, Scenario, variants
 
 CELLS = FOLDER / "cells"
@@ -63,29 +65,11 @@
     return None
 
 
-def _always_next(before: object, transfer: object) -> bool:
-    return True
-
-
-def _join_at_once(
-    self: ShareBook, raised: object, link: object, peer: object, durable: Callable[[], None]
-) -> None:
-    durable()
-
-
-def _leave_later(self: ShareBook, lowered: object) -> None:
-    return None
-
-
 def _without_lead(writer: Writer, conditions: dict[str, int], writes: list[Data]) -> None:
     own = {key: stamp for key, stamp in conditions.items() if key != LEAD}
     writer._store.commit(own, writes)
 
 
-def _keep_nothing_back(self: object, value: int, now: float) -> int:
-    return 0
-
-
 # Guard that is taken out -> scenario that must then break a rule or miss what it expects.
 GUARDS: list[tuple[str, type, str, Callable[..., object]]] = [
     ("last_accelerator", Quotas, "set", _settings_alone),
@@ -93,8 +77,8 @@
     ("unheard_machine_counts", Fleet, "unknown_use", _no_unknown_use),
     ("two_gangs_with_half_each", DemandMonitor, "_is_stuck", _never_stuck),
     ("without_the_file", CellQuota, "_check_use", _unchecked),
-    ("late_writes_and_messages", ShareBook, "_is_next", _always_next),
-    ("leader_killed_in_transfer", ShareBook, "_join", _join_at_once),
+    ("late_writes_and_messages", ShareBook, "_is_next", always_next),
+    ("leader_killed_in_transfer", ShareBook, "_join", join_at_once),
     ("leader_frozen_in_transfer", Writer, "commit", _without_lead),
 ]
 
@@ -104,8 +88,7 @@
     guard: tuple[str, type, str, Callable[..., object]], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     name, owner, method, stub = guard
-    stub = staticmethod(stub) if isinstance(owner.__dict__[method], staticmethod) else stub
-    monkeypatch.setattr(owner, method, stub)
+    take_out(monkeypatch, owner, method, stub)
     outcomes = [
         found for _, text in variants(CELLS / f"{name}.txt") for seed in (1, 2) for found in play(text, seed)
     ]
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from guards import take_out
 from poppyhold.cluster.authority import Authority
 from poppyhold.cluster.cancellations import Cancellations
 from poppyhold.cluster.connectivity import Connectivity
@@ -243,8 +244,7 @@
     guard: tuple[str, type, str, Callable[..., object]], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     name, owner, method, stub = guard
-    stub = staticmethod(stub) if isinstance(owner.__dict__[method], staticmethod) else stub
-    monkeypatch.setattr(owner, method, stub)
+    take_out(monkeypatch, owner, method, stub)
     outcomes = []
     for _, text in variants(FOLDER / f"{name}.txt"):
         for seed in (1, 2, 3, 4):
--- a/tests/test_share_book.py
+++ b/tests/test_share_book.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from guards import take_out
 from poppyhold.durable.committer import Writer
 from poppyhold.durable.store import LEAD, Data
 from poppyhold.quota.amounts import (
@@ -30,7 +31,7 @@
 )
 from poppyhold.scheduling.quotas import Quotas, TeamQuota
 from poppyhold.settings import ConfigError, Team
-from quota_model import CELLS, TEAM, Fleet, Outcome
+from quota_model import CELLS, TEAM, Fleet, Outcome, always_next, join_at_once
 
 WEIGHTS = st.dictionaries(st.sampled_from("abcde"), st.integers(1, 10**9), min_size=1)
 
@@ -276,20 +277,10 @@
     giver.late.pop()()
 
 
-def _always_next(before: object, transfer: object) -> bool:
-    return True
-
-
 def _leave_later(self: ShareBook, lowered: object) -> None:
     return None
 
 
-def _join_at_once(
-    self: ShareBook, raised: object, link: object, peer: object, durable: Callable[[], None]
-) -> None:
-    durable()
-
-
 def _told_at_once(self: ShareBook, peer: str) -> Transfer | None:
     record = self.peers.get(peer)
     return record.in_transit if record is not None else None
@@ -304,9 +295,9 @@
 
 
 GUARDS = [
-    pytest.param(repeated, ShareBook, "_is_next", staticmethod(_always_next), id="sequence"),
+    pytest.param(repeated, ShareBook, "_is_next", always_next, id="sequence"),
     pytest.param(started_before_the_write, ShareBook, "_leave", _leave_later, id="leaves-first"),
-    pytest.param(started_before_it_was_taken, ShareBook, "_join", _join_at_once, id="joins-last"),
+    pytest.param(started_before_it_was_taken, ShareBook, "_join", join_at_once, id="joins-last"),
     pytest.param(told_before_it_was_written, ShareBook, "transfer_to", _told_at_once, id="durable-first"),
     pytest.param(frozen_in_a_gift, Writer, "commit", _without_lead, id="lead"),
     pytest.param(carried_out_late, Writer, "commit", _without_fence, id="fence"),
@@ -325,7 +316,7 @@
     play(fleet)
     assert fleet.problems() == []
     without = Fleet()
-    monkeypatch.setattr(owner, method, stub)
+    take_out(monkeypatch, owner, method, stub)
     play(without)
     assert without.problems() != []
 
