A share's step under way holds up no look at demand; records of another cell let nothing start; needs by age

Cause, found on reading: while a transaction was repeated through an outage, ticks of `quota` ended at the seeding step, so alarms and demand stood still; a cell with another cell's records used these until its first tick; of more than 64 wants the last were never named. Change: seeding looks at what is missing first; the cell's name is checked as records are loaded; wants go by guarantee, then by age.

--- a/src/poppyhold/quota/cell_quota.py
+++ b/src/poppyhold/quota/cell_quota.py
@@ -130,6 +130,7 @@
     def load(self, entries: Iterable[Entry]) -> None:
         """Begin with what earlier leaders made durable."""
         self.book.load(entries)
+        self._is_other_cell()
         for team in self.differing():
             log.warning("team %s: the settings differ from its share's record, which holds", team)
 
@@ -276,20 +277,21 @@
         self._requests = requests
 
     def _wants(self) -> dict[str, list[Want]]:
-        """What to ask each cell for: of every team first the cells that can spare the most."""
+        """What to ask each cell for: guaranteed need first, then what has waited longest."""
         now = self._ctx.clock()
-        wants: dict[str, list[Want]] = {}
-        short: dict[str, float] = {}
+        wants: list[Want] = []
         for team, record in self.book.records.items():
             demand = self._demands.get(team)
             want = demand.want(team, record.share, record.whole) if demand is not None else None
-            if want is None:
-                continue
-            short[team] = self._short_since.get(team, now)
+            if want is not None:
+                wants.append(want)
+        self._short_since = {want.team: self._short_since.get(want.team, now) for want in wants}
+        wants.sort(key=lambda want: (not want.is_guaranteed, self._short_since[want.team], want.team))
+        by_cell: dict[str, list[Want]] = {}
+        for want in wants:
             for cell, part in self._dealt(want):
-                wants.setdefault(cell, []).append(part)
-        self._short_since = short
-        return wants
+                by_cell.setdefault(cell, []).append(part)
+        return by_cell
 
     def _dealt(self, want: Want) -> list[tuple[str, Want]]:
         """A want dealt out to the cells that could spare some of it when they were last heard."""
--- a/src/poppyhold/quota/share_book.py
+++ b/src/poppyhold/quota/share_book.py
@@ -148,6 +148,9 @@
         ``shares`` holds each team's first share here and what it has over all cells. A share that is there
         holds, whatever the settings say today.
         """
+        missing = [team for team in shares if team not in self._records]
+        if self.identity is not None and not missing:
+            return False
         if self.busy:
             return True
         conditions: dict[str, int] = {}
@@ -157,13 +160,10 @@
             identity = IdentityRecord(self.cell, self._new_incarnation())
             conditions[IDENTITY] = 0
             writes.append(put(IDENTITY, msgspec.to_builtins(identity)))
-        missing = [team for team in shares if team not in self._records][: max(0, most - len(writes))]
-        records = [ShareRecord(team, *shares[team]) for team in missing]
+        records = [ShareRecord(team, *shares[team]) for team in missing[: max(0, most - len(writes))]]
         for record in records:
             conditions[share_key(record.team)] = 0
             writes.append(_put_share(record))
-        if not writes:
-            return False
 
         def durable() -> None:
             self.identity = identity
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -5,6 +5,8 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from cells_world import CellsWorld
 from poppyhold.durable.store import TOKEN
 from poppyhold.options import Options
@@ -125,6 +127,13 @@
             node.options = Options()
             node.boot()
 
+    def do_swap_cell(self, name: str) -> None:
+        """The cell's controllers come back with a file that gives the cell another name."""
+        for node in self.world.nodes:
+            assert node.options.cells is not None
+            node.options = Options(cells=msgspec.structs.replace(node.options.cells, name=name))
+            node.crash(3.0)
+
     def do_with_cells(self, which: str) -> None:
         """The nodes are killed and come back with the file."""
         for node in self._nodes(which):
--- a/tests/test_share_book.py
+++ b/tests/test_share_book.py
@@ -11,7 +11,7 @@
 
 from guards import take_out
 from poppyhold.durable.committer import Writer
-from poppyhold.durable.store import LEAD, Data
+from poppyhold.durable.store import LEAD, QUOTA, Data, Entry
 from poppyhold.quota.amounts import (
     UNIT,
     ResourceAmount,
@@ -24,6 +24,7 @@
 )
 from poppyhold.quota.records import Transfer
 from poppyhold.quota.share_book import (
+    OtherCellError,
     ProtocolError,
     SequenceError,
     ShareBook,
@@ -372,3 +373,24 @@
     cell.crash()
     assert cell.leader is not None
     assert cell.leader.limit() == UNIT
+
+
+def test_a_step_under_way_holds_up_no_cell_whose_records_are_all_there() -> None:
+    """While a state service is away for long, demand and alarms must go on being looked at."""
+    fleet = Fleet()
+    cell = fleet.cells[0]
+    assert cell.leader is not None
+    cell.leader.give(fleet.cells[1], UNIT)
+    assert cell.leader.book.busy
+    whole = TeamShare(ResourceShare(), ResourceShare(0, UNIT))
+    assert not cell.leader.book.seed({TEAM: (whole, whole)}, 10)
+    assert cell.leader.book.seed({"beta": (whole, whole)}, 10)
+
+
+def test_records_of_another_cell_let_nothing_start() -> None:
+    cell = Fleet().cells[0]
+    book = ShareBook("west", str, lambda conditions, writes, done: None, lambda team: None, lambda why: None)
+    entries = cell.state.scan(QUOTA, "", 1000)[1]["entries"]
+    book.load(Entry(each["key"], each["data"], each["stamp"]) for each in entries)
+    with pytest.raises(OtherCellError):
+        book.check_identity()
