--- a/src/poppyhold/quota/cell_quota.py
+++ b/src/poppyhold/quota/cell_quota.py
@@ -9,7 +9,6 @@
 
 import logging
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
 
 from poppyhold.concurrency.pace import Pace
 from poppyhold.durable.store import Data, Entry
@@ -25,12 +24,11 @@
     to_units,
     whole_share,
 )
+from poppyhold.quota.asking import Asking
 from poppyhold.quota.cells import Cells
 from poppyhold.quota.demand import DemandMonitor, TeamDemand
 from poppyhold.quota.messages import (
-    PROTOCOL_VERSION,
     CellView,
-    HeardView,
     PeerView,
     ShareReply,
     ShareRequest,
@@ -51,15 +49,6 @@
 
 # Changes of a transfer beside one for each team's share: its note, and that note's removal.
 _CHANGES_A_TRANSFER = 2
-# Teams that a request names at the most: the next one names the rest.
-_MOST_WANTS = 64
-
-
-class _Heard(NamedTuple):
-    """What another cell said last, and when."""
-
-    view: CellView
-    at: float
 
 
 class CellQuota:
@@ -86,15 +75,13 @@
         self.book = ShareBook(
             cells.name, self._new_incarnation, self._commit, self._in_force, ctx.edges.resign
         )
+        self._asking = Asking(cells, self.book, ctx.clock)
         keep_s = ctx.times.lease_s * cells.keep_leases
         self._monitor = DemandMonitor(ctx, keep_s, unknown_use, can_rent)
         limits = ctx.settings.settings.state.lowest
         self._teams_at_once = max(1, limits.txn_ops // 2)
         self._pace = Pace(limits.write_rps * cells.moves_share, burst=1.0)
         self._demands: dict[str, TeamDemand] = {}
-        self._heard: dict[str, _Heard] = {}
-        self._short_since: dict[str, float] = {}
-        self._requests: dict[str, ShareRequest] = {}
         self._current_view: CellView | None = None
         # What is being taken, for the log as it is durable.
         self._taking: list[str] = []
@@ -157,13 +144,13 @@
         """Take another cell's answer."""
         if reply.refused:
             log.debug("cell %s refuses: %s", reply.cell, reply.refused)
-        self._note_view(reply.cell, reply.view)
+        self._asking.heard(reply.cell, reply.view)
         self._guarded(reply.cell, lambda: self._take(reply))
         self._prepare_requests()
 
     def requests(self) -> dict[str, ShareRequest]:
         """What to ask each other cell now; the same objects for as long as nothing changes."""
-        return self._requests
+        return self._asking.requests
 
     # -- messages --------------------------------------------------------------------------------------
 
@@ -207,7 +194,7 @@
 
     def _serve(self, request: ShareRequest) -> None:
         self.book.check_peer(request.cell, request.incarnation)
-        self._note_view(request.cell, request.view)
+        self._asking.heard(request.cell, request.view)
         self.book.acknowledged(request.cell, request.incarnation, request.applied)
         now = self._ctx.clock()
         if not self.book.can_give(request.cell) or self._pace.ready_at() > now:
@@ -227,17 +214,12 @@
             return
         self.book.check_peer(reply.cell, reply.incarnation)
         if reply.transfer is not None and self.book.receive(reply.cell, reply.incarnation, reply.transfer):
-            now = self._ctx.clock()
             self._taking = [
                 f"team {team}: took {_in_words(amount)} from cell {reply.cell}, "
-                f"asked for {now - self._short_since.get(team, now):.3f} s"
+                f"asked for {self._asking.waited_s(team):.3f} s"
                 for team, amount in reply.transfer.amounts.items()
             ]
 
-    def _note_view(self, cell: str, view: CellView | None) -> None:
-        if view is not None:
-            self._heard[cell] = _Heard(view, self._ctx.clock())
-
     # -- giving ----------------------------------------------------------------------------------------
 
     def _offer(self, want: Want, cell: str) -> TeamAmount:
@@ -252,68 +234,10 @@
             _part(accelerators, want.accelerators_guaranteed, want.accelerators_limit),
         )
 
-    # -- asking ----------------------------------------------------------------------------------------
-
     def _prepare_requests(self) -> None:
-        """Ask each cell for what it can spare of what is wanted here."""
-        if not self.book.incarnation:
-            return
-        wants = self._wants()
-        view = self._view()
-        requests = {}
-        for cell in self._cells.others:
-            peer = self.book.peers.get(cell.name)
-            requests[cell.name] = ShareRequest(
-                PROTOCOL_VERSION,
-                self._cells.name,
-                cell.name,
-                self._cells.layout,
-                self.book.incarnation,
-                peer.incarnation if peer is not None else "",
-                self.book.applied(cell.name),
-                wants.get(cell.name, [])[:_MOST_WANTS],
-                view,
-            )
-        self._requests = requests
-
-    def _wants(self) -> dict[str, list[Want]]:
-        """What to ask each cell for: guaranteed need first, then what has waited longest."""
-        now = self._ctx.clock()
-        wants: list[Want] = []
-        for team, record in self.book.records.items():
-            demand = self._demands.get(team)
-            want = demand.want(team, record.share, record.whole) if demand is not None else None
-            if want is not None:
-                wants.append(want)
-        self._short_since = {want.team: self._short_since.get(want.team, now) for want in wants}
-        wants.sort(key=lambda want: (not want.is_guaranteed, self._short_since[want.team], want.team))
-        by_cell: dict[str, list[Want]] = {}
-        for want in wants:
-            for cell, part in self._dealt(want):
-                by_cell.setdefault(cell, []).append(part)
-        return by_cell
-
-    def _dealt(self, want: Want) -> list[tuple[str, Want]]:
-        """A want dealt out to the cells that could spare some of it when they were last heard."""
-        spares = []
-        for cell, heard in self._heard.items():
-            view = next((team for team in heard.view.teams if team.team == want.team), None)
-            if view is not None and (view.cpus_spare.limit or view.accelerators_spare.limit):
-                spares.append((cell, view))
-        spares.sort(key=lambda pair: (-pair[1].accelerators_spare.limit, -pair[1].cpus_spare.limit, pair[0]))
-        dealt = []
-        for cell, view in spares:
-            dealt.append((cell, want))
-            want = Want(
-                want.team,
-                max(0, want.cpus_guaranteed - view.cpus_spare.guaranteed),
-                max(0, want.cpus_limit - view.cpus_spare.limit),
-                max(0, want.accelerators_guaranteed - view.accelerators_spare.guaranteed),
-                max(0, want.accelerators_limit - view.accelerators_spare.limit),
-            )
-            if not (want.is_guaranteed or want.cpus_limit or want.accelerators_limit):
-                break
-        return dealt
+        """Ask the other cells by what is known now."""
+        if self.book.incarnation:
+            self._asking.prepare(self._demands, self._view())
 
     # -- what operators see ----------------------------------------------------------------------------
 
@@ -340,21 +264,11 @@
 
     def short(self) -> list[str]:
         """Teams whose work has waited for a larger share for more than a lease."""
-        now = self._ctx.clock()
-        return sorted(
-            team for team, since in self._short_since.items() if now - since > self._ctx.times.lease_s
-        )
+        return self._asking.short(self._ctx.times.lease_s)
 
     def status(self) -> StatusReply:
         """All that this cell's leader knows."""
-        now = self._ctx.clock()
-        names = [cell.name for cell in self._cells.others]
-        heard = [
-            HeardView(self._heard[name].view, now - self._heard[name].at)
-            for name in names
-            if name in self._heard
-        ]
-        unheard = [name for name in names if name not in self._heard]
+        heard, unheard = self._asking.others()
         return StatusReply(self._view(), heard, unheard, self.short(), self.differing())
 
     def _view(self) -> CellView:
--- a/src/poppyhold/quota/messages.py
+++ b/src/poppyhold/quota/messages.py
@@ -28,6 +28,11 @@
         """Whether it is for work within the team's guarantee."""
         return bool(self.cpus_guaranteed or self.accelerators_guaranteed)
 
+    @property
+    def is_nothing(self) -> bool:
+        """Whether nothing is wanted."""
+        return not (self.is_guaranteed or self.cpus_limit or self.accelerators_limit)
+
 
 class TeamView(msgspec.Struct, frozen=True, array_like=True):
     """A team in one cell: its share, what may be in use of it, and what the cell could give away."""
--- a/src/poppyhold/scale/profile.py
+++ b/src/poppyhold/scale/profile.py
@@ -90,6 +90,8 @@
     team_guarantee: float = 0.0
     # Cells of this size that share the teams' limits; each has its own controllers and state service.
     cells: int = 1
+    # How long a cell keeps back what it used, in leases: see `cells.keep_leases` in the options.
+    keep_leases: float = 1.0
     # Of several cells, one after the other gets most arrivals, for so long each; 0: all alike.
     wander_s: float = 0.0
     # The first class of jobs also comes in bursts of so many, in all cells at the same instant.
@@ -119,6 +121,7 @@
     "team_limit": (0.01, 1_000.0),
     "team_guarantee": (0.0, 1.0),
     "cells": (1, 8),
+    "keep_leases": (0.1, 1_000.0),
     "wander_s": (0.0, 3_600.0),
     "burst_jobs": (0, 10_000),
     "burst_every_s": (0.5, 3_600.0),
