--- a/tests/quota_model.py
+++ b/tests/quota_model.py
@@ -19,6 +19,7 @@
 )
 from poppyhold.quota.amounts import UNIT, ResourceAmount, ResourceShare, TeamAmount, TeamShare, seed
 from poppyhold.quota.messages import PROTOCOL_VERSION, ShareReply, ShareRequest
+from poppyhold.quota.records import Transfer
 from poppyhold.quota.share_book import ShareBook
 from poppyhold.scale.standins import StateStandIn
 
@@ -303,3 +304,9 @@
 ) -> None:
     """What is taken counts before it is durable."""
     durable()
+
+
+def told_at_once(self: ShareBook, peer: str) -> Transfer | None:
+    """A transfer is told before it is durable."""
+    record = self.peers.get(peer)
+    return record.in_transit if record is not None else None
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -11,10 +11,11 @@
 from poppyhold.durable.store import LEAD, Data
 from poppyhold.model.fleet import NOTHING, Fleet, Room
 from poppyhold.quota.cell_quota import CellQuota
-from poppyhold.quota.demand import DemandMonitor, ResourceDemand
+from poppyhold.quota.demand import DemandMonitor, RecentPeak, ResourceDemand
 from poppyhold.quota.share_book import ShareBook
+from poppyhold.scheduling.dispatch import Dispatcher
 from poppyhold.scheduling.quotas import Quotas, TeamQuota
-from quota_model import always_next, join_at_once
+from quota_model import always_next, join_at_once, told_at_once
 from scenario import FOLDER, Scenario, variants
 
 CELLS = FOLDER / "cells"
@@ -57,10 +58,22 @@
     return NOTHING
 
 
-def _never_stuck(*_: object) -> bool:
+def _never(*_: object) -> bool:
     return False
 
 
+def _always(*_: object) -> bool:
+    return True
+
+
+def _unheard(self: ShareBook, peer: str, incarnation: str, applied: int) -> None:
+    """What another cell has applied is not taken note of."""
+
+
+def _nothing_of_late(self: RecentPeak, value: int, now: float) -> int:
+    return 0
+
+
 def _unchecked(self: CellQuota) -> None:
     return None
 
@@ -75,11 +88,18 @@
     ("last_accelerator", Quotas, "set", _settings_alone),
     ("cancelled_still_counts", ResourceDemand, "kept", _nothing_kept),
     ("unheard_machine_counts", Fleet, "unknown_use", _no_unknown_use),
-    ("two_gangs_with_half_each", DemandMonitor, "_is_stuck", _never_stuck),
+    ("two_gangs_with_half_each", DemandMonitor, "_is_stuck", _never),
     ("without_the_file", CellQuota, "_check_use", _unchecked),
     ("late_writes_and_messages", ShareBook, "_is_next", always_next),
     ("leader_killed_in_transfer", ShareBook, "_join", join_at_once),
     ("leader_frozen_in_transfer", Writer, "commit", _without_lead),
+    ("two_leaders", ShareBook, "transfer_to", told_at_once),
+    ("state_outage_in_transfer", ShareBook, "_join", join_at_once),
+    ("cut_in_one_direction", ShareBook, "acknowledged", _unheard),
+    ("share_moves", ShareBook, "acknowledged", _unheard),
+    ("gang_at_the_edge", Dispatcher, "_gang_within_limit", _always),
+    ("steady_and_alternating", RecentPeak, "note", _nothing_of_late),
+    ("wrong_cell", CellQuota, "_is_other_cell", _never),
 ]
 
 
--- a/tests/test_share_book.py
+++ b/tests/test_share_book.py
@@ -32,7 +32,7 @@
 )
 from poppyhold.scheduling.quotas import Quotas, TeamQuota
 from poppyhold.settings import ConfigError, Team
-from quota_model import CELLS, TEAM, Fleet, Outcome, always_next, join_at_once
+from quota_model import CELLS, TEAM, Fleet, Outcome, always_next, join_at_once, told_at_once
 
 WEIGHTS = st.dictionaries(st.sampled_from("abcde"), st.integers(1, 10**9), min_size=1)
 
@@ -282,11 +282,6 @@
     return None
 
 
-def _told_at_once(self: ShareBook, peer: str) -> Transfer | None:
-    record = self.peers.get(peer)
-    return record.in_transit if record is not None else None
-
-
 def _without_lead(writer: Writer, conditions: dict[str, int], writes: list[Data]) -> None:
     writer._store.commit(conditions, writes)
 
@@ -299,7 +294,7 @@
     pytest.param(repeated, ShareBook, "_is_next", always_next, id="sequence"),
     pytest.param(started_before_the_write, ShareBook, "_leave", _leave_later, id="leaves-first"),
     pytest.param(started_before_it_was_taken, ShareBook, "_join", join_at_once, id="joins-last"),
-    pytest.param(told_before_it_was_written, ShareBook, "transfer_to", _told_at_once, id="durable-first"),
+    pytest.param(told_before_it_was_written, ShareBook, "transfer_to", told_at_once, id="durable-first"),
     pytest.param(frozen_in_a_gift, Writer, "commit", _without_lead, id="lead"),
     pytest.param(carried_out_late, Writer, "commit", _without_fence, id="fence"),
 ]
