--- a/tests/cells_world.py
+++ b/tests/cells_world.py
@@ -55,6 +55,8 @@
         self.twice_share = self.lost_share = self.late_share = 0.0
         # Cells whose controllers once ran without the file: there the share may be exceeded, not unnoticed.
         self.without_file: set[int] = set()
+        # A cell was restored from nothing: until all shares are made anew, they don't add up.
+        self.cell_is_lost = False
         self._unsaid: Counter[int] = Counter()
         self._check_at = 0.0
         team = next(team for team in self.worlds[0].settings.settings.teams if team.name == TEAM)
@@ -186,7 +188,7 @@
             return
         self._check_at = self.now + _CHECK_S
         books = {name: self._book(world) for name, world in zip(self._names, self.worlds, strict=True)}
-        if any(book.share(TEAM) is None for book in books.values()):
+        if self.cell_is_lost or any(book.share(TEAM) is None for book in books.values()):
             return
         running = {
             name: 0 if index in self.without_file and self._says_so(index) else to_units(self._used(world))
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from cells_world import CellsWorld
-from poppyhold.durable.store import TOKEN
+from poppyhold.durable.store import QUOTA, TOKEN, remove
 from poppyhold.options import Options
 from poppyhold.relay.mode import RelayMode
 from poppyhold.scale.jobs import submission
@@ -127,6 +127,28 @@
             node.options = Options()
             node.boot()
 
+    def do_lose_shares(self) -> None:
+        """The cell's records of shares are gone, as if its state service was restored from nothing."""
+        self._several().cell_is_lost = True
+        self._remove_shares(self.world)
+
+    def do_make_shares_anew(self) -> None:
+        """Operators stop all controllers of all cells, remove what is left of shares, and start again."""
+        cells = self._several()
+        for world in cells.worlds:
+            for node in world.nodes:
+                node.crash(3.0)
+            self._remove_shares(world)
+        cells.cell_is_lost = False
+
+    @staticmethod
+    def _remove_shares(world: World) -> None:
+        keys = [key for key in world.state.keys if key.startswith(QUOTA)]
+        for node in world.nodes:
+            node.crash(3.0)
+        for key in keys:
+            world.state.commit({"writes": [remove(key)]})
+
     def do_swap_cell(self, name: str) -> None:
         """The cell's controllers come back with a file that gives the cell another name."""
         for node in self.world.nodes:
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -70,6 +70,10 @@
     """What another cell has applied is not taken note of."""
 
 
+def _any_peer(self: ShareBook, peer: str, incarnation: str) -> None:
+    """Another cell's records are taken for those of before, whatever they are."""
+
+
 def _nothing_of_late(self: RecentPeak, value: int, now: float) -> int:
     return 0
 
@@ -100,6 +104,7 @@
     ("gang_at_the_edge", Dispatcher, "_gang_within_limit", _always),
     ("steady_and_alternating", RecentPeak, "note", _nothing_of_late),
     ("wrong_cell", CellQuota, "_is_other_cell", _never),
+    ("lost_cell", ShareBook, "check_peer", _any_peer),
 ]
 
 
