What work lacks has a type of its own; work may be stuck beside an idle share of CPUs as well

Cause, found on reading: two cells that hold half of the CPUs that a gang needs each would have kept them, for only accelerators were looked at; and what is missing of a limit stood in a field named borrowable. Change: Missing; waits_beside looks at either resource.

--- a/src/poppyhold/quota/demand.py
+++ b/src/poppyhold/quota/demand.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Callable
+from typing import NamedTuple
 
 import msgspec
 
@@ -34,6 +35,13 @@
         return max(self._now, self._before)
 
 
+class Missing(NamedTuple):
+    """What work lacks of one resource: of the guarantee, and of the limit in all."""
+
+    guaranteed: int
+    limit: int
+
+
 class ResourceDemand(msgspec.Struct):
     """One resource of one team, in thousandths."""
 
@@ -57,13 +65,15 @@
         guaranteed = int(min(max(0, share.guaranteed - kept), idle))
         return ResourceAmount(guaranteed, int(min(share.borrowable or 0, idle - guaranteed)))
 
-    def missing(self, share: ResourceShare, whole: ResourceShare) -> ResourceAmount:
-        """What of the guarantee, and of the limit in all, the waiting work lacks; as an amount of both."""
+    def missing(self, share: ResourceShare, whole: ResourceShare) -> Missing:
+        """What the waiting work lacks."""
         guaranteed = min(self.used + self.waiting, whole.guaranteed) - share.guaranteed
         limit = 0 if share.limit is None else self.used + self.startable - share.limit
-        return ResourceAmount(
-            max(0, guaranteed) if self.waiting else 0, max(0, limit) if self.startable else 0
-        )
+        return Missing(max(0, guaranteed) if self.waiting else 0, max(0, limit) if self.startable else 0)
+
+    def waits_beside(self, share: ResourceShare) -> bool:
+        """Whether work waits though some of the share is idle."""
+        return self.waiting > 0 and share.limit is not None and share.limit > self.may_run
 
 
 class TeamDemand(msgspec.Struct):
@@ -78,9 +88,8 @@
         """What to ask other cells for; None: nothing."""
         cpus = self.cpus.missing(share.cpus, whole.cpus)
         accelerators = self.accelerators.missing(share.accelerators, whole.accelerators)
-        if not (cpus.limit or accelerators.limit):
-            return None
-        return Want(team, cpus.guaranteed, cpus.borrowable, accelerators.guaranteed, accelerators.borrowable)
+        want = Want(team, cpus.guaranteed, cpus.limit, accelerators.guaranteed, accelerators.limit)
+        return None if want.is_nothing else want
 
 
 def _units_above(amount: float) -> int:
@@ -164,9 +173,8 @@
         """
         used = sum(self._ctx.fleet.used.get(team, [0.0, 0.0]))
         progress = self._progress.setdefault(team, _Progress(used, now))
-        limit = share.accelerators.limit
-        idle = limit is not None and limit > demand.accelerators.may_run
-        if not (demand.accelerators.waiting and idle) or used != progress.used:
+        waits = demand.accelerators.waits_beside(share.accelerators) or demand.cpus.waits_beside(share.cpus)
+        if not waits or used != progress.used:
             progress.used, progress.since = used, now
         return now - progress.since > self._keep_s
 
--- a/tests/test_share_book.py
+++ b/tests/test_share_book.py
@@ -22,6 +22,7 @@
     split,
     whole_share,
 )
+from poppyhold.quota.demand import ResourceDemand
 from poppyhold.quota.records import Transfer
 from poppyhold.quota.share_book import (
     OtherCellError,
@@ -389,3 +390,37 @@
     book.load(Entry(each["key"], each["data"], each["stamp"]) for each in entries)
     with pytest.raises(OtherCellError):
         book.check_identity()
+
+
+# -- demand --------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("demand", "expected"),
+    [
+        pytest.param(ResourceDemand(used=4, waiting=3, startable=3), (5, 1), id="both"),
+        pytest.param(ResourceDemand(used=4, waiting=3), (5, 0), id="no-room-anywhere"),
+        pytest.param(ResourceDemand(used=7), (0, 0), id="nothing-waits"),
+        pytest.param(ResourceDemand(used=1, waiting=9, startable=9), (6, 4), id="no-more-than-is-guaranteed"),
+    ],
+)
+def test_what_waiting_work_lacks(demand: ResourceDemand, expected: tuple[int, int]) -> None:
+    share, whole = ResourceShare(2, 4), ResourceShare(8, 40)
+    assert demand.missing(share, whole) == expected
+
+
+def test_what_a_cell_can_spare() -> None:
+    share = ResourceShare(4, 6)
+    assert ResourceDemand(may_run=3).spare(share, is_stuck=False) == ResourceAmount(1, 6)
+    assert ResourceDemand(may_run=3, waiting=4).spare(share, is_stuck=False) == ResourceAmount(0, 3)
+    assert ResourceDemand(may_run=3, waiting=4).spare(share, is_stuck=True) == ResourceAmount(1, 6)
+    assert ResourceDemand(may_run=3, peak=9).spare(share, is_stuck=True) == ResourceAmount(0, 1)
+    assert ResourceDemand(may_run=30).spare(share, is_stuck=False) == ResourceAmount(0, 0)
+    # Without a limit only the guarantee can move.
+    assert ResourceDemand(may_run=1).spare(ResourceShare(4, None), is_stuck=False) == ResourceAmount(3, 0)
+
+
+def test_work_waits_beside_an_idle_share_of_either_resource() -> None:
+    assert ResourceDemand(may_run=2, waiting=4).waits_beside(ResourceShare(0, 4))
+    assert not ResourceDemand(may_run=4, waiting=4).waits_beside(ResourceShare(0, 4))
+    assert not ResourceDemand(may_run=2, waiting=4).waits_beside(ResourceShare(0, None))
