Runs of cells: use with links up and cut apart, a run that is cut for most of it, a plot

Cause: the run of several cells gave one figure for the part of limits in use, its links were cut for a third of it at the most, and how shares moved could only be read out of logs. A way that two cuts hold opens with the last of them. The checker also holds each cell to its own stored share. Result: the tests of cells pass; the build without shares is found by the new check as well.

--- a/src/poppyhold/scale/__main__.py
+++ b/src/poppyhold/scale/__main__.py
@@ -19,6 +19,24 @@
 from poppyhold.scale.result import Result, print_result
 from poppyhold.scale.run import StoppedError, play
 
+# Formats of a plot, by the file's ending.
+_PLOT_FORMATS = (".png", ".svg", ".pdf")
+
+
+def _plot_path(text: str) -> Path:
+    """A file's path for a plot; what can't be written is refused before the run."""
+    path = Path(text)
+    if path.suffix not in _PLOT_FORMATS:
+        raise argparse.ArgumentTypeError(f"must end in one of {', '.join(_PLOT_FORMATS)}")
+    if not path.absolute().parent.is_dir():
+        raise argparse.ArgumentTypeError("its folder does not exist")
+    return path
+
+
+def _is_of_cells(profile: Profile) -> bool:
+    """Whether the run is one of several cells, or of one with their load."""
+    return profile.cells > 1 or profile.burst_jobs > 0
+
 
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
@@ -30,6 +48,9 @@
     parser.add_argument("--relays", choices=("auto", "off", "forced"), help="instead of the profile's own")
     parser.add_argument("--cells", type=int, help="instead of the profile's own; 1: without shares of limits")
     parser.add_argument("--json", metavar="FILE", type=Path, help="write the result here")
+    parser.add_argument(
+        "--plot", metavar="FILE", type=_plot_path, help="plot shares and use of several cells"
+    )
     parser.add_argument("--logs", metavar="DIR", type=Path, help="keep settings and logs of controllers here")
     return parser
 
@@ -37,7 +58,7 @@
 async def _interruptible(profile: Profile, seed: int, folder: Path) -> Result | CellsResult:
     """Play; an interrupt ends the run in order, and its result says so."""
     run: asyncio.Future[Result | CellsResult]
-    if profile.cells > 1 or profile.burst_jobs:
+    if _is_of_cells(profile):
         run = asyncio.ensure_future(play_cells(profile, seed, folder))
     else:
         run = asyncio.ensure_future(play(profile, seed, folder))
@@ -47,6 +68,13 @@
     return await run
 
 
+def _write_plot(result: CellsResult, path: Path) -> None:
+    # Loaded behind the run, whose memory is measured.
+    from poppyhold.scale.cell_plot import plot_cells
+
+    plot_cells(result, path)
+
+
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the program; returns its exit status: 0, 1 if the run failed, 2 for a bad profile."""
     args = _parser().parse_args(argv)
@@ -59,6 +87,9 @@
         profile = msgspec.structs.replace(profile, relays=args.relays)
     if args.cells is not None:
         profile = msgspec.structs.replace(profile, cells=args.cells, troubles=[])
+    if args.plot is not None and not _is_of_cells(profile):
+        print(f"poppyhold.scale: --plot: {profile.name} is a run of one cell", file=sys.stderr)
+        return 2
     with tempfile.TemporaryDirectory(prefix="poppyhold-scale-") as temporary:
         folder = args.logs or Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
@@ -72,6 +103,8 @@
     if args.json is not None:
         args.json.write_bytes(msgspec.json.format(msgspec.json.encode(result)))
     if isinstance(result, CellsResult):
+        if args.plot is not None:
+            _write_plot(result, args.plot)
         print_cells_result(result, Console())
     else:
         print_result(result, Console())
--- a/src/poppyhold/scale/cell_checks.py
+++ b/src/poppyhold/scale/cell_checks.py
@@ -7,9 +7,12 @@
 from typing import NamedTuple
 
 from poppyhold.durable.store import QUOTA
+from poppyhold.quota.amounts import UNIT
 from poppyhold.quota.messages import CellView, PeerView, TeamView
 from poppyhold.quota.records import IDENTITY, PEER, SHARE, IdentityRecord, PeerRecord, ShareRecord
 from poppyhold.quota.totals import problems, transfers_in_transit
+from poppyhold.scale.cell_history import CellHistory, CellSample, LimitUse
+from poppyhold.scale.cell_links import CellNetwork
 from poppyhold.scale.checks import RuleChecks
 from poppyhold.scale.run import ScaleRun
 from poppyhold.scale.standins import StateStandIn
@@ -18,6 +21,7 @@
 _SLACK = 1e-6
 _MOST_KEPT = 50
 _LARGEST_PAGE = 1000
+_SAMPLE_S = 1.0
 
 
 class GuaranteeBound(NamedTuple):
@@ -54,9 +58,11 @@
         runs: Sequence[ScaleRun],
         limits: dict[str, float],
         bound: GuaranteeBound,
+        network: CellNetwork,
         clock: Callable[[], float],
     ) -> None:
-        self._runs, self._limits, self._bound, self._clock = runs, limits, bound, clock
+        self._runs, self._limits, self._bound = runs, limits, bound
+        self._network, self._clock = network, clock
         self.broken: list[str] = []
         self.broken_count = 0
         # Until then a trouble may hold up shares.
@@ -64,29 +70,25 @@
         self._below_since: dict[str, float] = {}
         self.longest_below_s = 0.0
         self._complete = False
-        # Sums of what was in use and of limits, while work waited for either.
-        self._used_sum = self._limit_sum = 0.0
+        self.use, self.use_links_up, self.use_links_cut = LimitUse(), LimitUse(), LimitUse()
+        self.links_cut_s = 0.0
+        self._looked_at: float | None = None
+        self.history = CellHistory(_SAMPLE_S)
 
     def _break(self, text: str) -> None:
         self.broken_count += 1
         if len(self.broken) < _MOST_KEPT:
             self.broken.append(text)
 
-    @property
-    def part_in_use(self) -> float:
-        """The part of the limits in use, over the moments at which a team's work waited."""
-        return self._used_sum / self._limit_sum if self._limit_sum else 0.0
-
     def clear(self) -> None:
         """Begin the measured time."""
-        self._used_sum = self._limit_sum = 0.0
+        self.use, self.use_links_up, self.use_links_cut = LimitUse(), LimitUse(), LimitUse()
+        self.links_cut_s = 0.0
+        self.history.begin(self._clock())
 
     def started(self) -> None:
         """A task started somewhere: the limits must hold at this instant."""
-        used: Counter[str] = Counter()
-        for run in self._runs:
-            used.update(run.checks.used)
-        if all(amount <= self._limits[team] + _SLACK for team, amount in used.items()):
+        if all(amount <= self._limits[team] + _SLACK for team, amount in self._used().items()):
             return
         # These are upper bounds: tasks that ended since the last count are still in them.
         for run in self._runs:
@@ -108,10 +110,13 @@
         """Look at everything once."""
         for run in self._runs:
             run.checks.count()
-        used = self._used()
+        used, waiting = self._used(), self._waiting()
         self._check_limits(used)
-        self._check_guarantees(used)
+        self._check_guarantees(used, waiting)
+        self._note_use(used, waiting)
         views = [stored_view(run.state.standin) for run in self._runs]
+        self._check_shares(views)
+        self._note_sample(views)
         # They are made one transaction after the other; from then on they are complete for ever.
         self._complete = self._complete or all(len(view.teams) == len(self._limits) for view in views)
         if self._complete:
@@ -123,13 +128,34 @@
         views = [stored_view(run.state.standin) for run in self._runs]
         return len(transfers_in_transit({view.cell: view for view in views}))
 
-    def _check_guarantees(self, used: Counter[str]) -> None:
+    def _check_shares(self, views: Sequence[CellView]) -> None:
+        """No cell may use more than its own durable share, cut off or not."""
+        for run, view in zip(self._runs, views, strict=True):
+            for team in view.teams:
+                limit, used = team.share.accelerators.limit, run.checks.used[team.team]
+                if limit is not None and used > limit / UNIT + _SLACK:
+                    self._break(f"share: {team.team} uses {used:g} of {limit / UNIT:g} in {view.cell}")
+
+    def _note_use(self, used: Counter[str], waiting: Counter[str]) -> None:
+        """What is in use of the limits of teams whose work waits, and for how long links are cut."""
+        now, is_whole = self._clock(), self._network.is_whole
+        if not is_whole and self._looked_at is not None:
+            self.links_cut_s += now - self._looked_at
+        self._looked_at = now
+        for team in (team for team in self._bound.guarantees if waiting[team]):
+            for use in (self.use, self.use_links_up if is_whole else self.use_links_cut):
+                use.add(used[team], self._limits[team])
+
+    def _note_sample(self, views: Sequence[CellView]) -> None:
+        cells = [
+            CellSample(_total_share(view), float(sum(run.checks.used.values())))
+            for run, view in zip(self._runs, views, strict=True)
+        ]
+        self.history.note(self._clock(), self._network.is_whole, cells)
+
+    def _check_guarantees(self, used: Counter[str], waiting: Counter[str]) -> None:
         now = self._clock()
-        waiting = self._waiting()
         for team, guaranteed in self._bound.guarantees.items():
-            if waiting[team]:
-                self._used_sum += used[team]
-                self._limit_sum += self._limits[team]
             below = used[team] + 1 <= guaranteed and waiting[team] and now > self.troubled_until
             if not below:
                 self._below_since.pop(team, None)
@@ -149,6 +175,11 @@
         return waiting
 
 
+def _total_share(view: CellView) -> float:
+    """Accelerators that all teams together may use in a cell."""
+    return sum(team.share.accelerators.limit or 0 for team in view.teams) / UNIT
+
+
 # A task of one accelerator, the smallest that asks for a share of them.
 _ONE = {"cpus": 1.0, "accelerators": 1.0, "memGb": 1.0}
 
--- a/src/poppyhold/scale/cells.py
+++ b/src/poppyhold/scale/cells.py
@@ -14,7 +14,8 @@
 from rich.table import Table
 
 from poppyhold.scale.cell_checks import CellChecks, GuaranteeBound
-from poppyhold.scale.cell_links import CuttableLink, cut
+from poppyhold.scale.cell_history import Sample
+from poppyhold.scale.cell_links import CellNetwork, Way
 from poppyhold.scale.controllers import ControllerProcess, team_limits
 from poppyhold.scale.measure import Latency
 from poppyhold.scale.profile import Profile, Trouble
@@ -41,12 +42,18 @@
     # Of the state services of all cells, for shares alone.
     quota_changes: int
     quota_commits: int
-    # Of the limits of teams whose work waits.
-    part_of_limits_in_use: float
+    # Of the limits of teams whose work waits: in all, and apart for the times in which all links between
+    # cells were up, and in which some were cut; None where no work waited in such a time.
+    part_of_limits_in_use: float | None
+    part_of_limits_in_use_links_up: float | None
+    part_of_limits_in_use_links_cut: float | None
+    # How much of the measured time some link was cut, in seconds.
+    links_cut_s: float
     longest_below_guarantee_s: float
     guarantee_bound_s: float
     in_transit_at_the_end: int
     troubles: list[TroubleResult]
+    samples: list[Sample]
     broken: list[str]
     broken_count: int
 
@@ -70,9 +77,8 @@
         limits = team_limits(profile)
         guarantees = {team: float(round(limit * profile.team_guarantee)) for team, limit in limits.items()}
         self._bound = GuaranteeBound(_GUARANTEE_LEASES * profile.lease_s, guarantees)
-        self._checks = CellChecks(self._runs, limits, self._bound, time.monotonic)
-        # By the cells that a link leads from and to.
-        self._links: dict[tuple[int, int], list[CuttableLink]] = {}
+        self._network = CellNetwork()
+        self._checks = CellChecks(self._runs, limits, self._bound, self._network, time.monotonic)
         self._troubles: list[TroubleResult] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -113,15 +119,13 @@
             lines.append(f"  keep_leases: {self._profile.keep_leases}")
             for target, other in enumerate(self._runs):
                 if source != target:
-                    addresses = await self._open(source, target, other.controllers.all)
+                    addresses = await self._open((source, target), other.controllers.all)
                     name = f'name: "{_name(target)}" part: {self._part(target)}'
                     lines.append(f"  others {{ {name} {addresses} }}")
             run.controllers.add_options("\n".join([*lines, "}\n"]))
 
-    async def _open(self, source: int, target: int, controllers: list[ControllerProcess]) -> str:
-        links = self._links[source, target] = [CuttableLink(each.back) for each in controllers]
-        for link in links:
-            await link.open()
+    async def _open(self, way: Way, controllers: list[ControllerProcess]) -> str:
+        links = await self._network.open(way, controllers)
         pairs = zip(controllers, links, strict=True)
         return " ".join(
             f'controllers {{ member: "{each.member}" address: "127.0.0.1:{link.port}" }}'
@@ -182,24 +186,21 @@
         ways = [(source, target)]
         if trouble.kind == "cut_links":
             ways.append((target, source))
-        for way in ways:
-            cut(self._links, *way, passes=False)
+        self._network.cut(ways)
         self._troubles.append(
             TroubleResult(trouble.kind, trouble.at_s, f"{_name(source)} to {_name(target)}")
         )
 
         async def heal() -> None:
             await asyncio.sleep(trouble.away_s)
-            for way in ways:
-                cut(self._links, *way, passes=True)
+            self._network.heal(ways)
 
         self._spawn(heal())
 
     async def _calm_down(self) -> None:
         """No more load or links that are cut: what is on its way arrives."""
         self._profile = msgspec.structs.replace(self._profile, burst_jobs=0)
-        for source, target in self._links:
-            cut(self._links, source, target, passes=True)
+        self._network.heal_all()
         for run in self._runs:
             run.users.part_of_arrivals = 0.0
         await self._until(lambda: not self._checks.in_transit(), 3 * self._profile.lease_s)
@@ -245,11 +246,15 @@
             moves=int(waits["count"]),
             quota_changes=sum(run.state.quota_writes for run in self._runs),
             quota_commits=sum(run.state.quota_commits for run in self._runs),
-            part_of_limits_in_use=self._checks.part_in_use,
+            part_of_limits_in_use=self._checks.use.part,
+            part_of_limits_in_use_links_up=self._checks.use_links_up.part,
+            part_of_limits_in_use_links_cut=self._checks.use_links_cut.part,
+            links_cut_s=self._checks.links_cut_s,
             longest_below_guarantee_s=self._checks.longest_below_s,
             guarantee_bound_s=self._bound.seconds,
             in_transit_at_the_end=in_transit,
             troubles=self._troubles,
+            samples=self._checks.history.samples,
             broken=broken,
             broken_count=self._checks.broken_count + bool(in_transit),
         )
@@ -266,6 +271,10 @@
     return await CellsRun(profile, seed, folder).play()
 
 
+def _in_words(part: float | None) -> str:
+    return "no work waited" if part is None else f"{part:.3f}"
+
+
 def print_cells_result(result: CellsResult, console: Console) -> None:
     """Show a run in the terminal."""
     for cell in result.cells:
@@ -274,7 +283,13 @@
     for name in ("count", "p50", "p95", "p99", "max"):
         table.add_row(f"wait for an asked share, {name}", f"{result.share_waits.get(name, 0.0):.3f}")
     table.add_row("changes for shares", str(result.quota_changes))
-    table.add_row("part of the limits in use while work waits", f"{result.part_of_limits_in_use:.3f}")
+    for name, part in (
+        ("", result.part_of_limits_in_use),
+        (", links up", result.part_of_limits_in_use_links_up),
+        (", links cut", result.part_of_limits_in_use_links_cut),
+    ):
+        table.add_row(f"part of the limits in use while work waits{name}", _in_words(part))
+    table.add_row("links cut, s", f"{result.links_cut_s:.0f}")
     below = f"{result.longest_below_guarantee_s:.1f} (bound {result.guarantee_bound_s:.1f})"
     table.add_row("longest below a guarantee, s", below)
     console.print(table)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import re
 import signal
@@ -16,9 +17,11 @@
 import pytest
 
 from poppyhold.scale.__main__ import main
+from poppyhold.scale.cell_history import CellHistory, CellSample, LimitUse
+from poppyhold.scale.cell_links import CellNetwork, CuttableLink
 from poppyhold.scale.cells import CellsResult
 from poppyhold.scale.checks import RuleChecks
-from poppyhold.scale.controllers import free_port
+from poppyhold.scale.controllers import ControllerProcess, free_port
 from poppyhold.scale.jobs import build_data, submission
 from poppyhold.scale.outside import RateLimit
 from poppyhold.scale.profile import PROFILES, ProfileError, built_in, load_profile
@@ -220,7 +223,7 @@
     for field, value in changes.items():
         text = re.sub(rf"(?ms)^{field} = .*?(?=^\w+ = |^\[|\Z)", f"{field} = {value}\n", text, count=1)
     own.write_text(text)
-    main([str(own), "--json", str(written)])
+    main([str(own), "--json", str(written), "--plot", str(folder / "plot.svg")])
     return msgspec.json.decode(written.read_bytes(), type=CellsResult)
 
 
@@ -236,6 +239,12 @@
         "freeze_leader",
     ]
     assert [trouble.kind for trouble in result.troubles] == ["cut_links_one_way"]
+    assert 0 < result.links_cut_s < result.profile["measured_s"]
+    for part in (result.part_of_limits_in_use_links_up, result.part_of_limits_in_use_links_cut):
+        assert part is not None
+        assert 0 < part <= 1
+    assert {sample.links_up for sample in result.samples} == {True, False}
+    assert "<svg" in (tmp_path / "plot.svg").read_text()
 
 
 def test_the_checker_of_cells_finds_a_build_without_shares(
@@ -250,9 +259,69 @@
     monkeypatch.syspath_prepend(str(build))
     result = _cells(tmp_path, troubles="[]", measured_s="8.0")
     assert any(line.startswith("quota over all cells") for line in result.broken)
+    # Each cell by itself as well: its tasks are above what is stored as its share.
+    assert any(line.startswith("share: ") for line in result.broken)
     assert not result.ok
 
 
+def test_a_way_that_two_cuts_hold_opens_with_the_last_of_them() -> None:
+    network = CellNetwork()
+    there, back = (0, 1), (1, 0)
+
+    async def links() -> tuple[CuttableLink, CuttableLink]:
+        controllers = [ControllerProcess("hive-0", "a")]
+        return (await network.open(there, controllers))[0], (await network.open(back, controllers))[0]
+
+    forward, backward = asyncio.run(links())
+    network.cut([there, back])
+    network.cut([there])
+    assert not (forward.asking.is_set() or backward.asking.is_set())
+    network.heal([there, back])
+    assert backward.asking.is_set()
+    # What is sent that way is also the answers to the other cell's questions.
+    assert not (forward.asking.is_set() or backward.answering.is_set())
+    assert not network.is_whole
+    network.heal([there])
+    assert forward.asking.is_set()
+    assert network.is_whole
+
+
+def test_use_with_links_up_and_cut_is_added_up_apart() -> None:
+    use = LimitUse()
+    assert use.part is None
+    use.add(3.0, 4.0)
+    use.add(0.0, 2.0)
+    assert use.part == 0.5
+
+
+def test_samples_keep_to_their_interval_from_the_measured_time_on() -> None:
+    history = CellHistory(1.0)
+    history.note(100.0, True, [CellSample(2.0, 1.0)])
+    history.begin(200.0)
+    for now in (200.25, 200.5, 201.25, 201.5):
+        history.note(now, now < 201, [CellSample(2.0, 1.0)])
+    assert [(sample.at_s, sample.links_up) for sample in history.samples] == [(0.25, True), (1.25, False)]
+
+
+@pytest.mark.parametrize(
+    ("profile", "plot", "named"),
+    [
+        ("cells_small", "plot.gif", "--plot: must end in"),
+        ("cells_small", "missing/plot.svg", "--plot: its folder does not exist"),
+        ("small", "plot.svg", "--plot: small is a run of one cell"),
+    ],
+)
+def test_a_plot_that_cannot_be_made_is_refused_before_the_run(
+    profile: str, plot: str, named: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    try:
+        status = main([profile, "--plot", str(tmp_path / plot)])
+    except SystemExit as refused:
+        status = int(str(refused.code))
+    assert status == 2
+    assert named in capsys.readouterr().err
+
+
 @pytest.mark.parametrize(
     ("change", "named"),
     [
