Cancellations are confirmed, not told: names of peers' messages, the leader's term and the scale checks

Names alone change (array-like messages carry no field names, so nothing changes between controllers): Ping.confirmed, Pong.confirmed, Cancellations.add, confirmed_cancellations, peer_answered, ChangeFeed._sent.

--- a/src/poppyhold/cluster/authority.py
+++ b/src/poppyhold/cluster/authority.py
@@ -8,10 +8,10 @@
 class Authority:
     """What a leader knows of cancellations, and what it may do without confirmation from the state service.
 
-    A cancellation that we have not acted on was told to its user behind the last moment at which we were in
-    step with the state service, and by a controller that we have not asked since. So we may answer until a
+    A cancellation that we have not acted on was confirmed to its user behind the last moment at which we were
+    in step with the state service, and by a controller that we have not asked since. So we may answer until a
     lease given now would end later than `cancel_s` behind the last moment at which every controller, this one
-    too, was asked and had told nothing that we had not acted on.
+    too, was asked and had confirmed nothing that we had not acted on.
     """
 
     def __init__(self, blind_answers_s: float, members: Iterable[str], began_at: float) -> None:
@@ -26,15 +26,15 @@
         self.synced_at, self.revision = asked, revision
 
     def learned(self, member: str, asked: float, bound: int) -> None:
-        """What a controller named when it was asked is acted on; all else that it told came by ``bound``.
+        """What a controller named when it was asked is acted on; all else it confirmed came by ``bound``.
 
-        The moment of the question counts: between its answer and now the controller may have told more.
+        The moment of the question counts: between its answer and now the controller may have confirmed more.
         """
         if 0 <= bound <= self.revision:
             self._clear_at[member] = max(asked, self._clear_at[member])
 
     def known_until(self, confirmed_at: float) -> float:
-        """No cancellation that was told up to this moment is unknown to us.
+        """No cancellation that was confirmed up to this moment is unknown to us.
 
         ``confirmed_at`` is when the lead was last confirmed as ours. The next leader counts on our answers to
         end within `cancel_s` of its beginning, and the state service may go on to tell of jobs behind that.
--- a/src/poppyhold/cluster/cancellations.py
+++ b/src/poppyhold/cluster/cancellations.py
@@ -1,4 +1,4 @@
-"""Cancellations that users were told of, for a leader that can't learn of them from the state service."""
+"""Cancellations confirmed to users, for a leader that can't learn of them from the state service."""
 
 from __future__ import annotations
 
@@ -9,21 +9,22 @@
 
 
 class Cancellations:
-    """What was told here: by job as far as there is room, and the highest revision of the rest.
+    """What was confirmed here: by job as far as there is room, and the highest revision of the rest.
 
-    A cancellation is durable before it is told, so any leader may act on it at once. One that is not named
-    counts through its revision: a leader that does not know every change up to it stops to answer in time.
+    A cancellation is durable before it is confirmed, so any leader may act on it at once. One that is not
+    named counts through its revision: a leader that does not know every change up to it stops to answer in
+    time.
     """
 
     def __init__(self, most: int) -> None:
         self._most = most
         self._named: dict[str, int] = {}
-        # Highest revision of those that were told and are no longer named.
+        # Highest revision of those that were confirmed and are no longer named.
         self._unnamed = -1
         self._lock = threading.Lock()
 
-    def told(self, job_id: str, revision: int) -> None:
-        """A user is about to be told that a job is cancelled, by a change of this revision."""
+    def add(self, job_id: str, revision: int) -> None:
+        """A job's cancellation is about to be confirmed to a user; it is durable with this revision."""
         with self._lock:
             if revision <= self._unnamed:
                 return
@@ -41,8 +42,8 @@
     def named(self, first: int) -> tuple[list[Cancellation], int]:
         """Those that are named, and the highest revision of all others; -1: that can't be said.
 
-        ``first`` is the first revision that this process saw: what a process before it told came by then.
-        Before it saw one (-1) nothing can be said of that, whatever it told itself meanwhile.
+        ``first`` is the first revision that this process saw: what one before it confirmed came by then.
+        Before it saw one (-1) nothing can be said of that, whatever it confirmed itself meanwhile.
         """
         with self._lock:
             return list(self._named.items()), max(self._unnamed, first) if first >= 0 else -1
--- a/src/poppyhold/cluster/peers.py
+++ b/src/poppyhold/cluster/peers.py
@@ -40,8 +40,8 @@
     leading: bool
     # Seconds since the state service last answered the sender.
     state_age_s: float
-    # Highest revision of a cancellation that the sender told a user; -1: it can't know.
-    told: int
+    # Highest revision of a cancellation that the sender confirmed to a user; -1: it can't know.
+    confirmed: int
     # Workers that turned to it lately.
     workers: int
     counts: list[Count] = []
@@ -62,10 +62,10 @@
     token: int
     leading: bool
     state_age_s: float
-    told: int
+    confirmed: int
     workers: int
-    # Cancellations that it told users of and that the leader may not know, and the highest revision of all
-    # others that it told. None from a version that names none: then `told` bounds all of them.
+    # Cancellations that it confirmed to users and that the leader may not know, and the highest revision of
+    # all others that it confirmed. None from a version that names none: then `confirmed` bounds all of them.
     cancelled: list[Cancellation] = []
     unnamed: int | None = None
     # The workers that turned to it lately: the leader knows whether it has heard newer reports of them.
@@ -76,7 +76,7 @@
     @property
     def bound(self) -> int:
         """Who knows every change up to this revision knows all that is not named; -1: that can't be said."""
-        return self.told if self.unnamed is None else self.unnamed
+        return self.confirmed if self.unnamed is None else self.unnamed
 
 
 Message = Ping | Pong
--- a/src/poppyhold/execution/attempts.py
+++ b/src/poppyhold/execution/attempts.py
@@ -47,7 +47,7 @@
         self.failures = failures
         # Machines that may hold tasks of terms before ours and have not been heard in it.
         self.unheard: set[str] = set()
-        self._unheard_told = False
+        self._all_heard_logged = False
         self._report_commands = ReportCommands(ctx)
         self.commands = DirectCommands(ctx, self._over, self._answered)
         self.began_at = ctx.clock()
@@ -379,8 +379,8 @@
         """Whether every machine that may hold tasks of terms before ours was heard or is proven empty."""
         if self.unheard:
             return False
-        if not self._unheard_told:
-            self._unheard_told = True
+        if not self._all_heard_logged:
+            self._all_heard_logged = True
             log.info("all machines heard after %.1f s", self._ctx.clock() - self.began_at)
         return True
 
--- a/src/poppyhold/node/leader_term.py
+++ b/src/poppyhold/node/leader_term.py
@@ -60,8 +60,8 @@
     catalog: MachineCatalog
     peer_hints: Hints
 
-    def cancellations_told(self) -> tuple[list[Cancellation], int]:
-        """Cancellations that users were told of here."""
+    def confirmed_cancellations(self) -> tuple[list[Cancellation], int]:
+        """Cancellations that were confirmed to users here."""
 
     def turned_away(self) -> Answer:
         """The answer to a report that can't be taken."""
@@ -215,21 +215,21 @@
         # In line behind the changes that it stands for.
         self._post(DECISIONS, lambda: self.authority.synced(asked, revision))
 
-    def told(self, pong: Pong, asked: float) -> None:
-        """Another controller answered which cancellations it told."""
+    def peer_answered(self, pong: Pong, asked: float) -> None:
+        """Another controller answered which cancellations it confirmed to users."""
         self._post(DECISIONS, lambda: self._act_on(pong.member, pong.cancelled, pong.bound, asked))
 
     def _act_on(self, member: str, cancelled: Iterable[Cancellation], bound: int, asked: float) -> None:
-        """Stop what a controller told as cancelled: it is durable, whether or not we can see it there."""
+        """Stop what a controller confirmed as cancelled: it is durable, seen here or not."""
         for job_id, _ in cancelled:
             self.controller.job_removed(ACTIVE + job_id)
         self.authority.learned(member, asked, bound)
 
     def _ask_ourselves(self) -> None:
-        """What our own users' edge told may not have come back to us when the state service refuses us."""
+        """What our own edge confirmed may not have come back to us when the state service refuses us."""
         asked = time.monotonic()
         self._node.users.cancellations.known(self.authority.revision)
-        named, bound = self._node.cancellations_told()
+        named, bound = self._node.confirmed_cancellations()
         self._act_on(self._node.settings.member, named, bound, asked)
 
     def _vouch(self) -> None:
--- a/src/poppyhold/node/service.py
+++ b/src/poppyhold/node/service.py
@@ -170,8 +170,8 @@
         leader_term = self._leader_term
         trust = leader_term.trust if leader_term is not None and leader_term.alive else None
         known = leader_term.authority.revision if leader_term is not None else -1
-        named, unnamed = self.cancellations_told()
-        told = unnamed if unnamed < 0 else max([unnamed, *(revision for _, revision in named)])
+        named, unnamed = self.confirmed_cancellations()
+        confirmed = unnamed if unnamed < 0 else max([unnamed, *(revision for _, revision in named)])
         token = term.token if term else 0
         relays = leader_term is not None and self._takes_relays(leader_term)
         return Ping(
@@ -179,15 +179,15 @@
             token,
             term is not None,
             age,
-            told,
+            confirmed,
             workers,
             trust=trust,
             known=known,
             relays=relays,
         )
 
-    def cancellations_told(self) -> tuple[list[Cancellation], int]:
-        """Cancellations that we told users of, as `Cancellations.named` says."""
+    def confirmed_cancellations(self) -> tuple[list[Cancellation], int]:
+        """Cancellations that we confirmed to users, as `Cancellations.named` says."""
         return self.users.cancellations.named(self.election.watch.first_revision)
 
     def _reply(self, ping: Ping) -> Pong:
@@ -198,14 +198,14 @@
         strays = self._stray_workers.recent() if ping.leading else []
         if ping.leading and ping.known >= 0:
             self.users.cancellations.known(ping.known)
-            # Read behind `us`: what is told in between is named as well.
-            named, unnamed = self.cancellations_told()
+            # Read behind `us`: what is confirmed in between is named as well.
+            named, unnamed = self.confirmed_cancellations()
         return Pong(
             us.member,
             us.token,
             us.leading,
             us.state_age_s,
-            us.told,
+            us.confirmed,
             us.workers,
             named,
             unnamed,
@@ -233,10 +233,10 @@
         if pong.leading:
             self.election.saw_token(pong.token)
             return
-        # Only who does not lead: what one told that does says nothing of what others tell under its lead.
+        # Only who does not lead: what a leader confirmed says nothing of what others confirm under its lead.
         leader_term = self._leader_term
         if leader_term is not None:
-            leader_term.told(pong, asked)
+            leader_term.peer_answered(pong, asked)
             self._hand_over()
         leader = self.election.leader
         # It runs, and leads nothing: the key is that of a process before it.
--- a/src/poppyhold/node/users.py
+++ b/src/poppyhold/node/users.py
@@ -225,7 +225,7 @@
     def _keep_final(self, job_id: str, final: tuple[str, int], revision: int) -> None:
         # Before anybody is told, here or from what is kept: a leader that asks must be told of it first.
         if final[0] == "cancelled":
-            self.cancellations.told(job_id, revision)
+            self.cancellations.add(job_id, revision)
         self.finals.put(job_id, final)
 
     def poll(self, job_id: str) -> Answer:
--- a/src/poppyhold/scale/checks.py
+++ b/src/poppyhold/scale/checks.py
@@ -30,7 +30,7 @@
         self.broken: list[str] = []
         self.broken_count = 0
         self._cancelled_at: dict[str, float] = {}
-        self._told: dict[str, str] = {}
+        self._reported_status: dict[str, str] = {}
         self._finished: Counter[str] = Counter()
         # Jobs that had a task on a machine.
         self._begun: set[str] = set()
@@ -93,11 +93,11 @@
         if self._clock() > late_at:
             self._break(f"ran_cancelled: {task}, {self._clock() - late_at:.1f} s too late")
 
-    # -- what users are told -----------------------------------------------------------------------
+    # -- what users hear ---------------------------------------------------------------------------
 
     def accepted(self, job: Data) -> None:
-        """A user was told that the job is accepted."""
-        self._told.setdefault(job["nameId"], "pending")
+        """The job was accepted."""
+        self._reported_status.setdefault(job["nameId"], "pending")
 
     def answered(self, job_id: str, status: int, body: Data) -> None:
         """A user asked about an accepted job, or cancelled it."""
@@ -105,19 +105,19 @@
             self._break(f"forgotten: {job_id} gets {status}")
         if status != 200:  # noqa: PLR2004 (HTTP's own number)
             return
-        told, before = body["status"], self._told.get(job_id)
-        if before in _FINAL and told != before:
-            self._break(f"went_back: {job_id} from {before} to {told}")
-        if told == "done" and self._finished[job_id] < self.jobs[job_id]["chores"]:
+        reported, before = body["status"], self._reported_status.get(job_id)
+        if before in _FINAL and reported != before:
+            self._break(f"went_back: {job_id} from {before} to {reported}")
+        if reported == "done" and self._finished[job_id] < self.jobs[job_id]["chores"]:
             self._break(f"not_done: {job_id} after {self._finished[job_id]} tasks")
-        if told == "cancelled":
+        if reported == "cancelled":
             self._cancelled_at.setdefault(job_id, self._clock())
-        self._told[job_id] = told
+        self._reported_status[job_id] = reported
 
     def waits(self, job_id: str) -> bool:
         """Whether a job is accepted, not over, and had no task on a machine yet."""
-        return self._told.get(job_id) == "pending" and job_id not in self._begun
+        return self._reported_status.get(job_id) == "pending" and job_id not in self._begun
 
     def is_final(self, job_id: str) -> bool:
-        """Whether its user was told that the job is over."""
-        return self._told.get(job_id) in _FINAL
+        """Whether its user has heard that the job is over."""
+        return self._reported_status.get(job_id) in _FINAL
--- a/src/poppyhold/scheduling/dispatch.py
+++ b/src/poppyhold/scheduling/dispatch.py
@@ -234,8 +234,8 @@
             return ran * job.spec.tasks
         silent_s = self._ctx.times.silent_s
         # It saves its progress only if all of its machines can be told in time.
-        told = all(now - mate.machine.last_report <= silent_s for mate in job.active.values())
-        lost = min(ran, job.spec.save_s) if told else ran % job.spec.checkpoint_s
+        reachable = all(now - mate.machine.last_report <= silent_s for mate in job.active.values())
+        lost = min(ran, job.spec.save_s) if reachable else ran % job.spec.checkpoint_s
         return lost * job.spec.tasks
 
     def _start_some(self, job: Job, most: int, reserved: dict[str, Room], shared: bool) -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -87,19 +87,19 @@
 
 
 def test_what_is_not_named_bounds_what_a_leader_knows() -> None:
-    told = Cancellations(2)
-    assert told.named(-1) == ([], -1)
-    assert told.named(5) == ([], 5)
-    told.told("job-000001", 10)
-    told.told("job-000002", 11)
-    assert told.named(5) == ([("job-000001", 10), ("job-000002", 11)], 5)
+    confirmed = Cancellations(2)
+    assert confirmed.named(-1) == ([], -1)
+    assert confirmed.named(5) == ([], 5)
+    confirmed.add("job-000001", 10)
+    confirmed.add("job-000002", 11)
+    assert confirmed.named(5) == ([("job-000001", 10), ("job-000002", 11)], 5)
     # One too many: the oldest counts by its revision alone.
-    told.told("job-000003", 12)
-    assert told.named(5) == ([("job-000002", 11), ("job-000003", 12)], 10)
-    told.known(11)
-    assert told.named(5) == ([("job-000003", 12)], 11)
-    # A process that has seen no revision can't know what the one before it told.
-    assert told.named(-1) == ([("job-000003", 12)], -1)
+    confirmed.add("job-000003", 12)
+    assert confirmed.named(5) == ([("job-000002", 11), ("job-000003", 12)], 10)
+    confirmed.known(11)
+    assert confirmed.named(5) == ([("job-000003", 12)], 11)
+    # A process that has seen no revision can't know what the one before it confirmed.
+    assert confirmed.named(-1) == ([("job-000003", 12)], -1)
 
 
 def test_only_moments_of_asking_count_and_only_of_all_controllers() -> None:
@@ -109,7 +109,7 @@
     assert authority.known_until(50.0) == 1.0
     authority.learned("b", 25.0, 9)
     assert authority.known_until(50.0) == 25.0
-    # It told something that was not acted on, or can't know: the moment stays where it was.
+    # It confirmed something that was not acted on, or can't know: the moment stays where it was.
     authority.learned("b", 40.0, 11)
     authority.learned("b", 41.0, -1)
     assert authority.may_answer(45.0, 50.0)
