Quota: a team's hold begins short and grows with shares that come back

Cause: a cell held back for a whole lease what a team used of late, whether or not its share ever came back. Change: quota.hold_times. A hold begins at an eighth of the longest one (keep_leases), grows fourfold when a cell lacks a share that it gave away within the longest hold, and halves with each quiet one of those.

--- a/src/poppyhold/quota/asking.py
+++ b/src/poppyhold/quota/asking.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from poppyhold.quota.cells import Cells
@@ -52,6 +52,10 @@
         views = [HeardView(last.view, now - last.at) for _, last in heard]
         return views, [name for name in names if name not in self._heard]
 
+    def short_teams(self) -> Iterable[str]:
+        """Teams whose work waits for a larger share."""
+        return self._short_since
+
     def waited_s(self, team: str) -> float:
         """How many seconds a team's work has waited for a larger share."""
         now = self._clock()
--- a/src/poppyhold/quota/cell_quota.py
+++ b/src/poppyhold/quota/cell_quota.py
@@ -29,6 +29,7 @@
 from poppyhold.quota.asking import Asking
 from poppyhold.quota.cells import Cells
 from poppyhold.quota.demand import DemandMonitor, TeamDemand
+from poppyhold.quota.hold_times import HoldTimes
 from poppyhold.quota.messages import (
     CellView,
     PeerView,
@@ -87,7 +88,8 @@
         )
         self._asking = Asking(cells, self.book, ctx.clock)
         keep_s = ctx.times.lease_s * cells.keep_leases
-        self._monitor = DemandMonitor(ctx, keep_s, unknown_use, can_rent)
+        self._holds = HoldTimes(keep_s)
+        self._monitor = DemandMonitor(ctx, keep_s, self._holds, unknown_use, can_rent)
         limits = ctx.settings.settings.state.lowest
         self._teams_at_once = max(1, limits.txn_ops // 2)
         self._pace = Pace(limits.write_rps * cells.moves_share, burst=1.0)
@@ -223,6 +225,7 @@
         if self.book.give(request.cell, request.incarnation, offers):
             self._pace.spend(len(offers) + _CHANGES_A_TRANSFER, now)
             for team, amount in offers.items():
+                self._holds.gave(team, now)
                 log.info("team %s: gives %s to cell %s", team, _in_words(amount), request.cell)
 
     def _take(self, reply: ShareReply) -> None:
@@ -253,6 +256,7 @@
         """Ask the other cells by what is known now."""
         if self.book.incarnation:
             self._asking.prepare(self._demands, self._view())
+            self._holds.lacked(self._asking.short_teams(), self._ctx.clock())
 
     # -- what operators see ----------------------------------------------------------------------------
 
--- a/src/poppyhold/quota/demand.py
+++ b/src/poppyhold/quota/demand.py
@@ -11,6 +11,7 @@
 from poppyhold.model.context import Context
 from poppyhold.model.fleet import EPSILON, Job, Room, allowed_machine_types, how_many
 from poppyhold.quota.amounts import UNIT, ResourceAmount, ResourceShare, TeamShare, to_units
+from poppyhold.quota.hold_times import HoldTimes
 from poppyhold.quota.messages import Want
 from poppyhold.scheduling.placement import may_use
 from poppyhold.wire.messages import Submission
@@ -19,16 +20,15 @@
 class RecentPeak:
     """The highest value of late: of the window that runs and of the one before it."""
 
-    def __init__(self, window_s: float) -> None:
-        self._window_s = window_s
+    def __init__(self) -> None:
         self._began_at = float("-inf")
         self._before = self._now = 0
 
-    def note(self, value: int, now: float) -> int:
-        """Take a value and return the peak."""
+    def note(self, value: int, now: float, window_s: float) -> int:
+        """Take a value and return the peak; windows may be longer or shorter from one value to the next."""
         passed = now - self._began_at
-        if passed >= self._window_s:
-            self._before = self._now if passed < 2 * self._window_s else 0
+        if passed >= window_s:
+            self._before = self._now if passed < 2 * window_s else 0
             self._now = 0
             self._began_at = now
         self._now = max(self._now, value)
@@ -111,11 +111,12 @@
         self,
         ctx: Context,
         keep_s: float,
+        holds: HoldTimes,
         unknown_use: Callable[[], Room],
         can_rent: Callable[[Submission], bool],
     ) -> None:
         """``unknown_use`` is what machines that were not heard may run; it counts for every team."""
-        self._ctx, self._keep_s = ctx, keep_s
+        self._ctx, self._keep_s, self._holds = ctx, keep_s, holds
         self._unknown_use, self._can_rent = unknown_use, can_rent
         self._peaks: dict[str, tuple[RecentPeak, RecentPeak]] = {}
         self._progress: dict[str, _Progress] = {}
@@ -142,12 +143,14 @@
 
     def _note_use(self, team: str, demand: TeamDemand, now: float) -> None:
         if team not in self._peaks:
-            self._peaks[team] = RecentPeak(self._keep_s / 2), RecentPeak(self._keep_s / 2)
+            self._peaks[team] = RecentPeak(), RecentPeak()
         used = self._ctx.fleet.used.get(team, [0.0, 0.0])
         cpus, accelerators = self._peaks[team]
+        # Peaks reach back by half to a whole hold.
+        window_s = self._holds.seconds(team, now) / 2
         demand.cpus.used, demand.accelerators.used = to_units(used[0]), to_units(used[1])
-        demand.cpus.peak = cpus.note(demand.cpus.used, now)
-        demand.accelerators.peak = accelerators.note(demand.accelerators.used, now)
+        demand.cpus.peak = cpus.note(demand.cpus.used, now, window_s)
+        demand.accelerators.peak = accelerators.note(demand.accelerators.used, now, window_s)
 
     def _add_waiting(self, demands: dict[str, TeamDemand]) -> None:
         rooms = _Rooms(self._ctx, self._can_rent)
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -10,6 +10,7 @@
 from poppyhold.model.fleet import NOTHING, Fleet, Room
 from poppyhold.quota.cell_quota import CellQuota
 from poppyhold.quota.demand import DemandMonitor, RecentPeak, ResourceDemand
+from poppyhold.quota.hold_times import HoldTimes
 from poppyhold.quota.share_book import ShareBook
 from poppyhold.scheduling.dispatch import Dispatcher
 from poppyhold.scheduling.quotas import Quotas, TeamQuota
@@ -61,7 +62,7 @@
     """Another cell's records are taken for those of before, whatever they are."""
 
 
-def _nothing_of_late(self: RecentPeak, value: int, now: float) -> int:
+def _nothing_of_late(self: RecentPeak, value: int, now: float, window_s: float) -> int:
     return 0
 
 
@@ -74,6 +75,10 @@
     writer._store.commit(own, writes)
 
 
+def _shortest_hold(self: HoldTimes, team: str, now: float) -> float:
+    return self._shortest_s
+
+
 # Guard that is taken out -> scenario that must then break a rule or miss what it expects.
 GUARDS = [
     Guard("last_accelerator", Quotas, "set", _settings_alone),
@@ -90,6 +95,7 @@
     Guard("share_moves", ShareBook, "acknowledged", _unheard),
     Guard("gang_at_the_edge", Dispatcher, "_gang_within_limit", _always),
     Guard("steady_and_alternating", RecentPeak, "note", _nothing_of_late),
+    Guard("steady_and_alternating", HoldTimes, "seconds", _shortest_hold),
     Guard("wrong_cell", CellQuota, "_is_other_cell", _never),
     Guard("lost_cell", ShareBook, "check_peer", _any_peer),
 ]
