--- a/src/poppyhold/node/leader_term.py
+++ b/src/poppyhold/node/leader_term.py
@@ -28,11 +28,9 @@
 from poppyhold.node.users import Users
 from poppyhold.node.workers import Done, Senders
 from poppyhold.options import Options
-from poppyhold.quota.cell_quota import QuotaHealth
-from poppyhold.quota.link import CellLinks
+from poppyhold.quota.edge import QuotaEdge
 from poppyhold.quota.messages import Answer as QuotaAnswer
 from poppyhold.quota.messages import Opening as QuotaOpening
-from poppyhold.quota.messages import ShareReply, ShareRequest, StatusRequest
 from poppyhold.relay.assignment import Assignment
 from poppyhold.relay.leader import RelayServer
 from poppyhold.settings import Settings
@@ -102,14 +100,10 @@
         self.relays = RelayServer(
             self._post, self.answer_report, self.controller.answered_at, self._assignment, workers
         )
-        cells = node.options.cells
-        self._cell_links = (
-            CellLinks(cells.others, self._on_share_reply, workers.report_s, workers.lease_s / 10, node.rng)
-            if cells is not None
-            else None
-        )
-        # What `/ready` says of shares, as of the last tick.
-        self.quota_health: QuotaHealth | None = None
+        self.quota_edge: QuotaEdge | None = None
+        quota, cells = self.controller.quota, node.options.cells
+        if quota is not None and cells is not None:
+            self.quota_edge = QuotaEdge(quota, cells, node.settings, self._post, node.rng)
         self._tick_s = node.settings.settings.workers.report_s / 4
         self._ready = threading.Event()
         self._thread = threading.Thread(target=self._run, name="decisions", daemon=True)
@@ -151,8 +145,8 @@
             time.monotonic() - read_at,
         )
         self._ready.set()
-        if self._cell_links is not None:
-            self._cell_links.start()
+        if self.quota_edge is not None:
+            self.quota_edge.start()
         self._decide()
 
     def _decide(self) -> None:
@@ -172,8 +166,8 @@
                     tick_at = time.monotonic() + self._tick_s
                 if not len(self._queue):
                     self.controller.settle()
-                if self._cell_links is not None and self.controller.quota is not None:
-                    self._cell_links.publish(self.controller.quota.requests())
+                if self.quota_edge is not None:
+                    self.quota_edge.publish()
             except Exception:
                 log.exception("decision")
 
@@ -185,8 +179,8 @@
         self._hints = self.controller.hints()
         self.relays.review(self.controller.ctx.fleet.machines.keys())
         self._vouch()
-        if self.controller.quota is not None:
-            self.quota_health = self.controller.quota.health()
+        if self.quota_edge is not None:
+            self.quota_edge.tick()
 
     def _read(self) -> Snapshot:
         reader = SnapshotReader(self._node.store, with_quota=self._node.options.cells is not None)
@@ -259,8 +253,8 @@
         self._committer.stop()
         self._senders.stop()
         self.relays.close()
-        if self._cell_links is not None:
-            self._cell_links.stop()
+        if self.quota_edge is not None:
+            self.quota_edge.stop()
         if self._cloud is not None:
             self._cloud.stop()
         if self._watch is not None:
@@ -269,32 +263,9 @@
         for work in self._queue.close():
             work()
 
-    # -- other cells ---------------------------------------------------------------------------------
-
-    def _on_share_reply(self, reply: ShareReply) -> None:
-        """A link got an answer from another cell; reports and decisions go first."""
-        quota = self.controller.quota
-        if quota is not None:
-            self._post(SUBMISSIONS, lambda: quota.replied(reply))
-
     def answer_cell(self, message: QuotaOpening, timeout_s: float) -> QuotaAnswer | None:
-        """Have the decision thread answer another cell's leader or an operator; None: not in time."""
-        quota = self.controller.quota
-        if quota is None or not self._ready.is_set():
-            return None
-        answers: list[QuotaAnswer] = []
-        answered = threading.Event()
-
-        def work() -> None:
-            if self.alive and isinstance(message, StatusRequest):
-                answers.append(quota.status())
-            elif self.alive and isinstance(message, ShareRequest):
-                answers.append(quota.answer(message))
-            answered.set()
-
-        if self._post(SUBMISSIONS, work):
-            answered.wait(timeout_s)
-        return answers[0] if answers else None
+        """Answer another cell's leader or an operator; None: not in time."""
+        return self.quota_edge.answer(message, timeout_s) if self.quota_edge is not None else None
 
     # -- reports -------------------------------------------------------------------------------------
 
--- a/src/poppyhold/node/service.py
+++ b/src/poppyhold/node/service.py
@@ -319,9 +319,10 @@
         if not self.catalog.types or behind:
             return answer(503, {"error": "not ready"}, Retry_After="1")
         body: dict[str, object] = {"member": self.settings.member}
-        health = leader_term.quota_health if (leader_term := self._leader_term) is not None else None
-        if health is not None:
-            body["shares"] = health._asdict()
+        leader_term = self._leader_term
+        edge = leader_term.quota_edge if leader_term is not None else None
+        if edge is not None and edge.health is not None:
+            body["shares"] = edge.health._asdict()
         return answer(200, body)
 
     def _handle_report(self, body: bytes) -> Answer | Deferred:
--- a/src/poppyhold/quota/cells.py
+++ b/src/poppyhold/quota/cells.py
@@ -38,7 +38,7 @@
     name: str
     part: float
     others: tuple[Cell, ...]
-    # How long a cell keeps back what it used lately, as a multiple of workers.lease_s.
+    # The longest that a cell holds back what it used lately, as a multiple of workers.lease_s.
     keep_leases: float = 1.0
     # The part of the state service's changes that moves of shares may take.
     moves_share: float = 0.2
--- a/src/poppyhold/scale/profile.py
+++ b/src/poppyhold/scale/profile.py
@@ -90,7 +90,7 @@
     team_guarantee: float = 0.0
     # Cells of this size that share the teams' limits; each has its own controllers and state service.
     cells: int = 1
-    # How long a cell keeps back what it used, in leases: see `cells.keep_leases` in the options.
+    # The longest that a cell holds back what it used, in leases: see `cells.keep_leases` in the options.
     keep_leases: float = 1.0
     # Of several cells, one after the other gets most arrivals, for so long each; 0: all alike.
     wander_s: float = 0.0
