Quota: work that has no room here holds back only its guarantee

Change: of the limit a cell keeps what may run and the waiting work that has room (startable); of the guarantee all waiting work, since a guarantee makes room.

--- a/src/poppyhold/quota/demand.py
+++ b/src/poppyhold/quota/demand.py
@@ -54,15 +54,16 @@
     # The most that was in use of late.
     peak: int = 0
 
-    def kept(self, is_stuck: bool) -> int:
-        """What the cell keeps for itself of the team's share."""
-        return max(self.may_run if is_stuck else self.may_run + self.waiting, self.peak)
+    def kept(self, waiting: int, is_stuck: bool) -> int:
+        """What the cell keeps for itself: what may run, what of the waiting work counts, and use of late."""
+        return max(self.may_run if is_stuck else self.may_run + waiting, self.peak)
 
     def spare(self, share: ResourceShare, is_stuck: bool) -> ResourceAmount:
         """What can be given away of a share."""
-        kept = self.kept(is_stuck)
+        # Work that has no room here could not use more of the limit now; a guarantee makes room.
+        kept, kept_guaranteed = self.kept(self.startable, is_stuck), self.kept(self.waiting, is_stuck)
         idle = math.inf if share.limit is None else max(0, share.limit - kept)
-        guaranteed = int(min(max(0, share.guaranteed - kept), idle))
+        guaranteed = int(min(max(0, share.guaranteed - kept_guaranteed), idle))
         return ResourceAmount(guaranteed, int(min(share.borrowable or 0, idle - guaranteed)))
 
     def missing(self, share: ResourceShare, whole: ResourceShare) -> Missing:
