Quota: a reserve of its first shares that a cell never gives away

Cause: a cell gives away all that is idle there; cut off at that moment it starts nothing more of those teams for as long as that lasts. Change: cells.reserve in the options (0 by default), a part of the first share in whole units; what a cell can spare is at most what is beyond it. Field reserve of the profiles of scale runs. Result: scenario reserve_while_cut_off: the cell that was cut off starts its four tasks at once; without the guard it starts none.

--- a/src/poppyhold/options.py
+++ b/src/poppyhold/options.py
@@ -91,6 +91,7 @@
     "fleet.machines": (0, 100_000),
     "cells.keep_leases": (0.1, 1000.0),
     "cells.moves_share": (0.001, 0.5),
+    "cells.reserve": (0.0, 1.0),
 }
 
 
--- a/src/poppyhold/quota/amounts.py
+++ b/src/poppyhold/quota/amounts.py
@@ -35,6 +35,10 @@
         """By how much the limit changes with it."""
         return self.guaranteed + self.borrowable
 
+    def at_most(self, most: ResourceAmount) -> ResourceAmount:
+        """What of it is within another amount."""
+        return ResourceAmount(min(self.guaranteed, most.guaranteed), min(self.borrowable, most.borrowable))
+
 
 class ResourceShare(msgspec.Struct, frozen=True, array_like=True):
     """A cell's part of a team's guarantee and limit of one resource.
@@ -57,6 +61,11 @@
             return False
         return amount.borrowable <= (self.borrowable or 0)
 
+    def beyond(self, reserved: ResourceShare) -> ResourceAmount:
+        """The part of a share that is not reserved; without a limit nothing is borrowed."""
+        borrowable = (self.borrowable or 0) - (reserved.borrowable or 0)
+        return ResourceAmount(max(0, self.guaranteed - reserved.guaranteed), max(0, borrowable))
+
     def plus(self, amount: ResourceAmount, sign: int = 1) -> ResourceShare:
         """The share with an amount more, or less."""
         borrowable = None if self.borrowable is None else self.borrowable + sign * amount.borrowable
@@ -145,6 +154,20 @@
         whole_share(team)
 
 
+def reserve(first: TeamShare, part: float) -> TeamShare:
+    """A part of a cell's first share, in whole CPUs and accelerators."""
+    return TeamShare(_reserve(first.cpus, part), _reserve(first.accelerators, part))
+
+
+def _reserve(first: ResourceShare, part: float) -> ResourceShare:
+    borrowable = None if first.borrowable is None else _whole_units(first.borrowable * part)
+    return ResourceShare(_whole_units(first.guaranteed * part), borrowable)
+
+
+def _whole_units(amount: float) -> int:
+    return int(amount) // UNIT * UNIT
+
+
 def is_shared(whole: TeamShare) -> bool:
     """Whether the team has a limit or a guarantee at all."""
     return any(part.guaranteed or part.limit is not None for part in (whole.cpus, whole.accelerators))
--- a/src/poppyhold/quota/cell_quota.py
+++ b/src/poppyhold/quota/cell_quota.py
@@ -22,6 +22,7 @@
     TeamShare,
     from_units,
     is_shared,
+    reserve,
     seed,
     to_units,
     whole_share,
@@ -83,6 +84,7 @@
         self._seeds = {
             team: (seed(whole, weights, cells.name), whole) for team, whole in self._wholes.items()
         }
+        self._reserves = {team: reserve(first, cells.reserve) for team, (first, _) in self._seeds.items()}
         self.book = ShareBook(
             cells.name, self._new_incarnation, self._commit, self._in_force, ctx.edges.resign
         )
@@ -246,12 +248,25 @@
         share, demand = self.book.share(want.team), self._demands.get(want.team)
         if share is None or demand is None:
             return TeamAmount()
-        cpus, accelerators = _spare(share, demand, demand.is_stuck and cell < self._cells.name)
+        is_stuck = demand.is_stuck and cell < self._cells.name
+        cpus, accelerators = self._spare(want.team, share, demand, is_stuck)
         return TeamAmount(
             _part(cpus, want.cpus_guaranteed, want.cpus_limit),
             _part(accelerators, want.accelerators_guaranteed, want.accelerators_limit),
         )
 
+    def _spare(
+        self, team: str, share: TeamShare, demand: TeamDemand, is_stuck: bool
+    ) -> tuple[ResourceAmount, ResourceAmount]:
+        """What the cell can give of both resources of a share: neither what it needs nor its reserve."""
+        reserved = self._reserves.get(team, TeamShare())
+        return (
+            demand.cpus.spare(share.cpus, is_stuck).at_most(share.cpus.beyond(reserved.cpus)),
+            demand.accelerators.spare(share.accelerators, is_stuck).at_most(
+                share.accelerators.beyond(reserved.accelerators)
+            ),
+        )
+
     def _prepare_requests(self) -> None:
         """Ask the other cells by what is known now."""
         if self.book.incarnation:
@@ -301,7 +316,7 @@
             demand = self._demands.get(team)
             used = self._ctx.fleet.used.get(team, [0.0, 0.0])
             cpus, accelerators = (
-                _spare(record.share, demand, demand.is_stuck)
+                self._spare(team, record.share, demand, demand.is_stuck)
                 if demand is not None
                 else (ResourceAmount(), ResourceAmount())
             )
@@ -313,13 +328,6 @@
         return CellView(self._cells.name, self.book.incarnation, teams, peers, self.alarms.texts())
 
 
-def _spare(share: TeamShare, demand: TeamDemand, is_stuck: bool) -> tuple[ResourceAmount, ResourceAmount]:
-    return (
-        demand.cpus.spare(share.cpus, is_stuck),
-        demand.accelerators.spare(share.accelerators, is_stuck),
-    )
-
-
 def _part(spare: ResourceAmount, guaranteed: int, limit: int) -> ResourceAmount:
     """The part of a spare amount that is wanted: guaranteed first, then what is borrowable."""
     given = min(spare.guaranteed, max(0, guaranteed))
--- a/src/poppyhold/quota/cells.py
+++ b/src/poppyhold/quota/cells.py
@@ -42,6 +42,8 @@
     keep_leases: float = 1.0
     # The part of the state service's changes that moves of shares may take.
     moves_share: float = 0.2
+    # The part of its first shares that a cell never gives away.
+    reserve: float = 0.0
 
     @property
     def weights(self) -> dict[str, int]:
--- a/src/poppyhold/scale/cells.py
+++ b/src/poppyhold/scale/cells.py
@@ -116,7 +116,7 @@
             return
         for source, run in enumerate(self._runs):
             lines = [f'cells {{ name: "{_name(source)}" part: {self._part(source)}']
-            lines.append(f"  keep_leases: {self._profile.keep_leases}")
+            lines.append(f"  keep_leases: {self._profile.keep_leases} reserve: {self._profile.reserve}")
             for target, other in enumerate(self._runs):
                 if source != target:
                     addresses = await self._open((source, target), other.controllers.all)
--- a/src/poppyhold/scale/profile.py
+++ b/src/poppyhold/scale/profile.py
@@ -92,6 +92,8 @@
     cells: int = 1
     # The longest that a cell holds back what it used, in leases: see `cells.keep_leases` in the options.
     keep_leases: float = 1.0
+    # The part of its first shares that a cell never gives away: see `cells.reserve` in the options.
+    reserve: float = 0.0
     # Of several cells, one after the other gets most arrivals, for so long each; 0: all alike.
     wander_s: float = 0.0
     # The first class of jobs also comes in bursts of so many, in all cells at the same instant.
@@ -122,6 +124,7 @@
     "team_guarantee": (0.0, 1.0),
     "cells": (1, 8),
     "keep_leases": (0.1, 1_000.0),
+    "reserve": (0.0, 1.0),
     "wander_s": (0.0, 3_600.0),
     "burst_jobs": (0, 10_000),
     "burst_every_s": (0.5, 3_600.0),
--- a/tests/cells_world.py
+++ b/tests/cells_world.py
@@ -35,7 +35,9 @@
 class CellsWorld:
     """The cells, their links, and what must hold over all of them."""
 
-    def __init__(self, seed: int, parts: list[float], make_world: Callable[[Options], World]) -> None:
+    def __init__(
+        self, seed: int, parts: list[float], reserve: float, make_world: Callable[[Options], World]
+    ) -> None:
         self._rng = random.Random(seed)
         names = [f"cell-{index}" for index in range(len(parts))]
         controller = (CellController("hive-0", "127.0.0.1:1"),)
@@ -43,7 +45,7 @@
         self.worlds = []
         for cell in every:
             others = tuple(other for other in every if other is not cell)
-            cells = check_cells(Cells(cell.name, cell.part, others))
+            cells = check_cells(Cells(cell.name, cell.part, others, reserve=reserve))
             self.worlds.append(make_world(Options(cells=cells)))
         self._names = names
         # One list for all: whoever breaks a rule, the scenario has.
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -52,7 +52,7 @@
         self.cells = None
         if "parts" in head:
             parts = [float(part) for part in head["parts"].split(",")]
-            self.cells = CellsWorld(seed, parts, make_world)
+            self.cells = CellsWorld(seed, parts, float(head.get("reserve", 0)), make_world)
             self.world = self.cells.worlds[0]
         else:
             self.world = make_world(Options())
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -8,6 +8,7 @@
 from poppyhold.durable.committer import Writer
 from poppyhold.durable.store import LEAD, Data
 from poppyhold.model.fleet import NOTHING, Fleet, Room
+from poppyhold.quota.amounts import ResourceAmount, ResourceShare
 from poppyhold.quota.cell_quota import CellQuota
 from poppyhold.quota.demand import DemandMonitor, RecentPeak, ResourceDemand
 from poppyhold.quota.hold_times import HoldTimes
@@ -79,6 +80,10 @@
     return max(self.may_run + self.waiting, self.peak)
 
 
+def _all_of_it(self: ResourceShare, reserved: ResourceShare) -> ResourceAmount:
+    return ResourceAmount(self.guaranteed, self.borrowable or 0)
+
+
 def _shortest_hold(self: HoldTimes, team: str, now: float) -> float:
     return self._shortest_s
 
@@ -101,6 +106,7 @@
     Guard("steady_and_alternating", RecentPeak, "note", _nothing_of_late),
     Guard("steady_and_alternating", HoldTimes, "seconds", _shortest_hold),
     Guard("waiting_without_room", ResourceDemand, "kept", _all_that_waits_kept),
+    Guard("reserve_while_cut_off", ResourceShare, "beyond", _all_of_it),
     Guard("wrong_cell", CellQuota, "_is_other_cell", _never),
     Guard("lost_cell", ShareBook, "check_peer", _any_peer),
 ]
--- a/tests/test_quota_links.py
+++ b/tests/test_quota_links.py
@@ -224,6 +224,7 @@
         ('member: "hive-1" address: "10.1', 'member: "hive-0" address: "10.1', "controllers.member"),
         ("# keep_leases: 1", "keep_leases: -1", "cells.keep_leases"),
         ("# moves_share: 0.2", "moves_share: 0.9", "cells.moves_share"),
+        ("# reserve: 0", "reserve: 1.5", "cells.reserve"),
     ],
 )
 def test_a_bad_file_is_refused_with_the_field(right: str, wrong: str, field: str) -> None:
--- a/tests/test_share_book.py
+++ b/tests/test_share_book.py
@@ -18,6 +18,7 @@
     ResourceShare,
     TeamAmount,
     TeamShare,
+    reserve,
     seed,
     split,
     whole_share,
@@ -409,6 +410,17 @@
     assert demand.missing(share, whole) == expected
 
 
+def test_a_reserve_is_whole_units_of_the_first_share_and_stays() -> None:
+    first = TeamShare(ResourceShare(3 * UNIT, None), ResourceShare(2 * UNIT, 5 * UNIT))
+    reserved = reserve(first, 0.5)
+    assert reserved == TeamShare(ResourceShare(UNIT, None), ResourceShare(UNIT, 2 * UNIT))
+    assert reserve(first, 0.0) == first.nothing()
+    assert first.cpus.beyond(reserved.cpus) == ResourceAmount(2 * UNIT, 0)
+    assert first.accelerators.beyond(reserved.accelerators) == ResourceAmount(UNIT, 3 * UNIT)
+    # A share that fell below its reserve, or began before there was one, gives nothing.
+    assert ResourceShare(0, UNIT).beyond(reserved.accelerators) == ResourceAmount(0, 0)
+
+
 def test_what_a_cell_can_spare() -> None:
     share = ResourceShare(4, 6)
     assert ResourceDemand(may_run=3).spare(share, is_stuck=False) == ResourceAmount(1, 6)
