Quota: views looked up by team, spare amounts as one type; use with links up and cut added up once

Change: a heard view keeps its teams by name; CellQuota._spare returns TeamAmount; CellChecks.use is the sum of its parts; CellChecks._views. Nothing behaves otherwise.

--- a/src/poppyhold/node/service.py
+++ b/src/poppyhold/node/service.py
@@ -14,9 +14,7 @@
 from poppyhold.cluster.lease_proxy import LeaseProxies, LeaseProxy
 from poppyhold.cluster.peers import Peers, Ping, Pong
 from poppyhold.cluster.stray_workers import StrayWorkers
-from poppyhold.durable.store import (
-    Store,
-)
+from poppyhold.durable.store import Store
 from poppyhold.model.context import Hints, Times
 from poppyhold.node.cloud import CloudClient
 from poppyhold.node.leader_term import LeaderTerm
--- a/src/poppyhold/quota/asking.py
+++ b/src/poppyhold/quota/asking.py
@@ -25,6 +25,8 @@
     """What another cell said last, and when."""
 
     view: CellView
+    # Its teams by name.
+    teams: dict[str, TeamView]
     at: float
 
 
@@ -42,7 +44,8 @@
     def heard(self, cell: str, view: CellView | None) -> None:
         """Another cell told how it stands."""
         if view is not None:
-            self._heard[cell] = _Heard(view, self._clock())
+            teams = {team.team: team for team in view.teams}
+            self._heard[cell] = _Heard(view, teams, self._clock())
 
     def others(self) -> tuple[list[HeardView], list[str]]:
         """The other cells as they were heard last, and those that never were."""
@@ -118,7 +121,7 @@
         """The cells that can spare some of a team's share, the most first."""
         spares = []
         for cell, heard in self._heard.items():
-            view = next((each for each in heard.view.teams if each.team == team), None)
+            view = heard.teams.get(team)
             if view is not None and (view.cpus_spare.limit or view.accelerators_spare.limit):
                 spares.append((cell, view))
         return sorted(
--- a/src/poppyhold/quota/cell_quota.py
+++ b/src/poppyhold/quota/cell_quota.py
@@ -249,18 +249,16 @@
         if share is None or demand is None:
             return TeamAmount()
         is_stuck = demand.is_stuck and cell < self._cells.name
-        cpus, accelerators = self._spare(want.team, share, demand, is_stuck)
+        spare = self._spare(want.team, share, demand, is_stuck)
         return TeamAmount(
-            _part(cpus, want.cpus_guaranteed, want.cpus_limit),
-            _part(accelerators, want.accelerators_guaranteed, want.accelerators_limit),
+            _part(spare.cpus, want.cpus_guaranteed, want.cpus_limit),
+            _part(spare.accelerators, want.accelerators_guaranteed, want.accelerators_limit),
         )
 
-    def _spare(
-        self, team: str, share: TeamShare, demand: TeamDemand, is_stuck: bool
-    ) -> tuple[ResourceAmount, ResourceAmount]:
+    def _spare(self, team: str, share: TeamShare, demand: TeamDemand, is_stuck: bool) -> TeamAmount:
         """What the cell can give of both resources of a share: neither what it needs nor its reserve."""
         reserved = self._reserves.get(team, TeamShare())
-        return (
+        return TeamAmount(
             demand.cpus.spare(share.cpus, is_stuck).at_most(share.cpus.beyond(reserved.cpus)),
             demand.accelerators.spare(share.accelerators, is_stuck).at_most(
                 share.accelerators.beyond(reserved.accelerators)
@@ -315,13 +313,11 @@
         for team, record in self.book.records.items():
             demand = self._demands.get(team)
             used = self._ctx.fleet.used.get(team, [0.0, 0.0])
-            cpus, accelerators = (
-                self._spare(team, record.share, demand, demand.is_stuck)
-                if demand is not None
-                else (ResourceAmount(), ResourceAmount())
-            )
+            spare = TeamAmount()
+            if demand is not None:
+                spare = self._spare(team, record.share, demand, demand.is_stuck)
             amounts = to_units(used[0]), to_units(used[1])
-            teams.append(TeamView(team, record.share, record.whole, *amounts, cpus, accelerators))
+            teams.append(TeamView(team, record.share, record.whole, *amounts, spare.cpus, spare.accelerators))
         peers = [
             PeerView(cell, peer.sent, peer.applied, peer.in_transit) for cell, peer in self.book.peers.items()
         ]
--- a/src/poppyhold/scale/cell_checks.py
+++ b/src/poppyhold/scale/cell_checks.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from poppyhold.durable.store import QUOTA
-from poppyhold.quota.amounts import UNIT
+from poppyhold.quota.amounts import from_units
 from poppyhold.quota.messages import CellView, PeerView, TeamView
 from poppyhold.quota.records import IDENTITY, PEER, SHARE, IdentityRecord, PeerRecord, ShareRecord
 from poppyhold.quota.totals import problems, transfers_in_transit
@@ -70,7 +70,7 @@
         self._below_since: dict[str, float] = {}
         self.longest_below_s = 0.0
         self._complete = False
-        self.use, self.use_links_up, self.use_links_cut = LimitUse(), LimitUse(), LimitUse()
+        self.use_links_up, self.use_links_cut = LimitUse(), LimitUse()
         self.links_cut_s = 0.0
         self._looked_at: float | None = None
         self.history = CellHistory(_SAMPLE_S)
@@ -82,7 +82,7 @@
 
     def clear(self) -> None:
         """Begin the measured time."""
-        self.use, self.use_links_up, self.use_links_cut = LimitUse(), LimitUse(), LimitUse()
+        self.use_links_up, self.use_links_cut = LimitUse(), LimitUse()
         self.links_cut_s = 0.0
         self.history.begin(self._clock())
 
@@ -114,7 +114,7 @@
         self._check_limits(used)
         self._check_guarantees(used, waiting)
         self._note_use(used, waiting)
-        views = [stored_view(run.state.standin) for run in self._runs]
+        views = self._views()
         self._check_shares(views)
         self._note_sample(views)
         # They are made one transaction after the other; from then on they are complete for ever.
@@ -123,18 +123,30 @@
             for problem in problems({view.cell: view for view in views}):
                 self._break(f"shares: {problem}")
 
+    def _views(self) -> list[CellView]:
+        """The shares of all cells as they are stored, in the order of the runs."""
+        return [stored_view(run.state.standin) for run in self._runs]
+
+    @property
+    def use(self) -> LimitUse:
+        """What was in use of the limits, whether links were up or cut."""
+        up, cut = self.use_links_up, self.use_links_cut
+        return LimitUse(up.used + cut.used, up.limit + cut.limit)
+
     def in_transit(self) -> int:
         """Transfers that have not reached who they are for."""
-        views = [stored_view(run.state.standin) for run in self._runs]
+        views = self._views()
         return len(transfers_in_transit({view.cell: view for view in views}))
 
     def _check_shares(self, views: Sequence[CellView]) -> None:
         """No cell may use more than its own durable share, cut off or not."""
         for run, view in zip(self._runs, views, strict=True):
             for team in view.teams:
-                limit, used = team.share.accelerators.limit, run.checks.used[team.team]
-                if limit is not None and used > limit / UNIT + _SLACK:
-                    self._break(f"share: {team.team} uses {used:g} of {limit / UNIT:g} in {view.cell}")
+                if team.share.accelerators.limit is None:
+                    continue
+                limit, used = from_units(team.share.accelerators.limit), run.checks.used[team.team]
+                if used > limit + _SLACK:
+                    self._break(f"share: {team.team} uses {used:g} of {limit:g} in {view.cell}")
 
     def _note_use(self, used: Counter[str], waiting: Counter[str]) -> None:
         """What is in use of the limits of teams whose work waits, and for how long links are cut."""
@@ -142,9 +154,9 @@
         if not is_whole and self._looked_at is not None:
             self.links_cut_s += now - self._looked_at
         self._looked_at = now
+        use = self.use_links_up if is_whole else self.use_links_cut
         for team in (team for team in self._bound.guarantees if waiting[team]):
-            for use in (self.use, self.use_links_up if is_whole else self.use_links_cut):
-                use.add(used[team], self._limits[team])
+            use.add(used[team], self._limits[team])
 
     def _note_sample(self, views: Sequence[CellView]) -> None:
         cells = [
@@ -177,7 +189,7 @@
 
 def _total_share(view: CellView) -> float:
     """Accelerators that all teams together may use in a cell."""
-    return sum(team.share.accelerators.limit or 0 for team in view.teams) / UNIT
+    return from_units(sum(team.share.accelerators.limit or 0 for team in view.teams))
 
 
 # A task of one accelerator, the smallest that asks for a share of them.
