Starts leave the leader only while their grant is valid

Seen by callers: a task of a cancelled job is started, or runs, more than cancel_s after its user was told (rule ran_cancelled).

Cause: a lapsed right. The right to start was decided in the scheduling cycle and checked again as the request was handed to the command dispatcher, and not as it left the process. In between the request waits for a sender thread. Each machine that does not answer holds one for 1.5 heartbeat intervals; a leader that begins while many machines are silent probes all of them through the same pool as the starts. At 1,800 sockets and 2.5 s the pool carries about 25 such machines a second, so 2,000 silent machines are a queue of some 80 s. A job that is cancelled meanwhile is stopped everywhere but in that queue: its start leaves with a valid token, session and attempt, and is executed.

Evidence: scenario starts_wait_behind_silent_machines.

Why it works: RenewalAuthority gives a grant from the confirmation of the lead and the time of the watch; it ends a command's timeout later, or once leases may not be renewed on that evidence. A sender thread drops a request whose grant has ended, as not sent: the attempt has provably not begun, and the task is started again with the answer to a heartbeat. may_start_tasks is derived from the same decision; the simulated leader, which had its own figures for it, uses it too.

--- a/src/poppyhold/cluster/authority.py
+++ b/src/poppyhold/cluster/authority.py
@@ -1,8 +1,31 @@
-"""Bounds how long a leader that can't reach the state service may renew workers' leases."""
+"""Bounds how long a leader that can't reach the state service may renew workers' leases and start tasks."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import NamedTuple
+
+from poppyhold.model.durations import Durations
+from poppyhold.model.start_grant import StartGrant, StartRefusal
+
+# Starts need a watch that caught up within this many leader leases: one poll of it may take almost one.
+_MAX_WATCH_AGE_LEADER_LEASES = 2
+
+
+class AuthorityLimits(NamedTuple):
+    """Durations, in seconds, that bound what a leader may do without confirmation."""
+
+    # How long leases may be renewed after the cancellation watermark.
+    unconfirmed_renewal_s: float
+    # Time to live of the lease that the leader's key is on.
+    leader_lease_s: float
+    # How long after its grant a start may leave the process.
+    start_valid_s: float
+
+    @classmethod
+    def of(cls, durations: Durations) -> AuthorityLimits:
+        """Return the limits of a deployment."""
+        return cls(durations.unconfirmed_renewal_s, durations.leader_lease_s, durations.command_timeout_s)
 
 
 class RenewalAuthority:
@@ -15,8 +38,8 @@
     included) whose answers named no cancellation that the leader had not applied.
     """
 
-    def __init__(self, unconfirmed_renewal_s: float, members: Iterable[str], began_at: float) -> None:
-        self._unconfirmed_renewal_s = unconfirmed_renewal_s
+    def __init__(self, limits: AuthorityLimits, members: Iterable[str], began_at: float) -> None:
+        self._limits = limits
         # By controller: every cancellation that it confirmed before this time is applied.
         self._peer_watermarks = {member: float("-inf") for member in members}
         # Every change before this time, and up to this revision, is applied.
@@ -48,4 +71,19 @@
 
     def may_renew_leases(self, now: float, confirmed_at: float) -> bool:
         """Whether workers' leases may be renewed."""
-        return now <= self.cancellation_watermark(confirmed_at) + self._unconfirmed_renewal_s
+        return now <= self.cancellation_watermark(confirmed_at) + self._limits.unconfirmed_renewal_s
+
+    def start_grant(self, now: float, confirmed_at: float) -> StartGrant | StartRefusal:
+        """Grant the sending of starts, or say why they are refused.
+
+        A start that reaches its worker as late as the grant allows is bounded like a lease that is renewed at
+        that moment: if its job was cancelled meanwhile, it ends within `cancel_s`.
+        """
+        limits = self._limits
+        if now - confirmed_at >= limits.leader_lease_s:
+            return StartRefusal.LEADERSHIP_UNCONFIRMED
+        if now - self.watch_caught_up_at >= limits.leader_lease_s * _MAX_WATCH_AGE_LEADER_LEASES:
+            return StartRefusal.CANCELLATIONS_UNKNOWN
+        applied_until = self.cancellation_watermark(confirmed_at)
+        expires_at = min(now + limits.start_valid_s, applied_until + limits.unconfirmed_renewal_s)
+        return StartGrant(applied_until, expires_at)
--- a/src/poppyhold/cluster/election.py
+++ b/src/poppyhold/cluster/election.py
@@ -21,6 +21,7 @@
 from poppyhold.durable.keys import LEADER_KEY, LEADER_PREFIX
 from poppyhold.durable.store import Store
 from poppyhold.durable.watch import Watch
+from poppyhold.model.durations import Durations
 from poppyhold.options import Options
 from poppyhold.settings import Settings
 
@@ -65,8 +66,7 @@
         self._on_elected, self._on_term_ended = on_elected, on_term_ended
         self._should_yield = should_yield
         worker_lease_s = settings.deployment.workers.lease_s
-        # Time to live of the lease that the leader's key is on.
-        self.leader_lease_s = worker_lease_s * options.leadership.term_leases
+        self.leader_lease_s = Durations(settings, options).leader_lease_s
         self._renewal_interval_s = self.leader_lease_s / options.leadership.renewals
         # Pause in this controller's campaigns after it resigned, as a leader or not.
         self._campaign_backoff_s = worker_lease_s
--- a/src/poppyhold/execution/direct_commands.py
+++ b/src/poppyhold/execution/direct_commands.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 
 from poppyhold.durable.changes import put_record
@@ -11,8 +12,11 @@
 from poppyhold.model.entities import Attempt, Machine
 from poppyhold.model.outbound import CommitPriority
 from poppyhold.model.outcome import RequestOutcome
+from poppyhold.model.start_grant import StartGrant, StartRefusal
 from poppyhold.wire.worker_messages import Command, CommandKind, DirectCommandsRequest, Heartbeat
 
+log = logging.getLogger(__name__)
+
 # A machine, the attempts whose starts were sent, the outcome, and the heartbeat in the response.
 OnCommandResponse = Callable[[Machine, list[Attempt], RequestOutcome, Heartbeat | None], None]
 
@@ -111,12 +115,14 @@
 
     def _send(self, machine: Machine, commands: list[Command]) -> None:
         ctx = self._ctx
+        start_grant = self._start_grant(commands)
         # A queued start may be obsolete: its incarnation ended and the task runs elsewhere, or its attempt is
         # to be stopped.
         commands = [
             command
             for command in commands
-            if command.kind is not CommandKind.START or self._should_send_start(machine, command)
+            if command.kind is not CommandKind.START
+            or self._should_send_start(machine, command, start_grant is not None)
         ]
         machine.command_in_flight = True
         starts = [command.task for command in commands if command.kind is CommandKind.START]
@@ -130,15 +136,30 @@
             self._on_response(machine, sent, outcome, heartbeat)
 
         ctx.outbound.send_commands(
-            machine.name, machine.endpoint, request.body(), on_response, silent and bool(machine.reconciled)
+            machine.name,
+            machine.endpoint,
+            request.body(),
+            on_response,
+            silent and bool(machine.reconciled),
+            start_grant,
         )
 
-    def _should_send_start(self, machine: Machine, command: Command) -> bool:
-        """Whether to send a queued start; if its attempt is to be stopped, the attempt is removed instead."""
+    def _start_grant(self, commands: list[Command]) -> StartGrant | None:
+        """Return the grant for the starts among the commands; None if there are none or they are refused."""
+        if all(command.kind is not CommandKind.START for command in commands):
+            return None
+        grant = self._ctx.outbound.start_grant()
+        if isinstance(grant, StartRefusal):
+            log.info("queued starts discarded: reason=%r", grant.value)
+            return None
+        return grant
+
+    def _should_send_start(self, machine: Machine, command: Command, granted: bool) -> bool:
+        """Whether to send a queued start; an attempt that may not start now is removed instead."""
         attempt = machine.attempts.get(command.task)
         if attempt is None or attempt.number != command.attempt:
             return False
-        if attempt.stop_requested_at is not None:
+        if attempt.stop_requested_at is not None or not granted:
             self._on_start_discarded(attempt)
             return False
         return True
--- a/src/poppyhold/model/durations.py
+++ b/src/poppyhold/model/durations.py
@@ -22,6 +22,8 @@
 # reach it over four seconds after a partition began, and only some have time for a second heartbeat to it.
 _DELEGATION_INTERVALS: Final = 1.5
 _DELEGATION_LEASES: Final = 1 / 4
+# Time-out of a request to a worker, in heartbeat intervals; the worker may still receive it later.
+_COMMAND_TIMEOUT_INTERVALS: Final = 1.5
 # Margin beyond ``cancel_s`` until no response of an earlier leader counts, in heartbeat intervals.
 _PREDECESSOR_MARGIN_INTERVALS: Final = 1
 
@@ -34,6 +36,9 @@
         self.heartbeat_interval_s = workers.heartbeat_interval_s
         self.lease_s = workers.lease_s
         self.cancel_s = workers.cancel_s
+        # Time to live of the lease that the leader's key is on.
+        self.leader_lease_s = workers.lease_s * options.leadership.term_leases
+        self.command_timeout_s = workers.heartbeat_interval_s * _COMMAND_TIMEOUT_INTERVALS
         # Time from a renewal until the lease has expired, whatever the clocks' drift.
         self.lease_expired_s = (
             workers.lease_s * _CLOCK_DRIFT_FACTOR + workers.heartbeat_interval_s * _EXPIRY_MARGIN_INTERVALS
--- a/src/poppyhold/model/outbound.py
+++ b/src/poppyhold/model/outbound.py
@@ -8,6 +8,7 @@
 
 from poppyhold.durable.changes import Write
 from poppyhold.model.outcome import RequestOutcome
+from poppyhold.model.start_grant import StartGrant, StartRefusal
 from poppyhold.wire.worker_messages import Heartbeat
 
 Data = dict[str, Any]
@@ -62,10 +63,12 @@
         body: Data,
         on_response: Callable[[RequestOutcome, Heartbeat | None], None],
         slow_lane: bool,
+        start_grant: StartGrant | None,
     ) -> None:
         """POST commands to a worker, once.
 
-        Requests with ``slow_lane`` are queued apart, so that they don't delay the others.
+        Requests with ``slow_lane`` are queued apart, so that they don't delay the others. One with starts
+        needs a grant: if that expires before the request is sent, the outcome is `NOT_SENT`.
         """
 
     def launch_machines(self, body: Data, on_response: Callable[[RequestOutcome, list[str]], None]) -> None:
@@ -92,6 +95,9 @@
     def may_start_tasks(self) -> bool:
         """Whether this leadership was confirmed recently enough to start tasks."""
 
+    def start_grant(self) -> StartGrant | StartRefusal:
+        """Grant the sending of starts to workers, or say why they are refused."""
+
     def leadership_confirmed_at(self) -> float:
         """Return the latest time at which certainly no other controller led."""
 
--- a/src/poppyhold/node/command_dispatcher.py
+++ b/src/poppyhold/node/command_dispatcher.py
@@ -4,13 +4,16 @@
 
 import logging
 import threading
+import time
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
+from typing import NamedTuple
 
 from poppyhold.configuration_checks import ConfigError, split_address
 from poppyhold.model.outbound import Data
 from poppyhold.model.outcome import RequestOutcome
+from poppyhold.model.start_grant import StartGrant
 from poppyhold.settings import Settings
 from poppyhold.wire.codec import MalformedError
 from poppyhold.wire.http_client import HttpClient, NoResponseError, NotSentError
@@ -20,13 +23,21 @@
 
 ResponseCallback = Callable[[RequestOutcome, Heartbeat | None], None]
 
-# Command timeout in heartbeat intervals; a worker may still receive a command that timed out.
-_TIMEOUT_INTERVALS = 1.5
 # Maximum threads of a pool: the controller's thread limit divided by its divisor, at least the minimum.
 _MIN_POOL_THREADS = 4
 _FAST_POOL_DIVISOR, _SLOW_POOL_DIVISOR = 20, 10
 
 
+class WorkerRequest(NamedTuple):
+    """A request with commands for one worker."""
+
+    endpoint: str
+    body: Data
+    on_response: ResponseCallback
+    # Needed by a request with starts; None without any.
+    start_grant: StartGrant | None = None
+
+
 class SenderPool:
     """Threads that send commands: added on demand up to a limit, and ended when idle.
 
@@ -35,21 +46,19 @@
     all other machines by minutes.
     """
 
-    def __init__(
-        self, max_threads: int, idle_s: float, send: Callable[[str, Data, ResponseCallback], None]
-    ) -> None:
+    def __init__(self, max_threads: int, idle_s: float, send: Callable[[WorkerRequest], None]) -> None:
         self._max_threads, self._idle_s, self._send = max_threads, idle_s, send
-        self._queue: deque[tuple[str, Data, ResponseCallback]] = deque()
+        self._queue: deque[WorkerRequest] = deque()
         self._wake = threading.Condition(threading.Lock())
         self._thread_count = self._idle_count = 0
         self._stopped = False
 
-    def submit(self, endpoint: str, body: Data, on_response: ResponseCallback) -> None:
-        """Queue a command, and add a thread if none is idle and the limit allows it."""
+    def submit(self, request: WorkerRequest) -> None:
+        """Queue a request, and add a thread if none is idle and the limit allows it."""
         with self._wake:
             if self._stopped:
                 return
-            self._queue.append((endpoint, body, on_response))
+            self._queue.append(request)
             if len(self._queue) <= self._idle_count or self._thread_count >= self._max_threads:
                 self._wake.notify()
                 return
@@ -63,8 +72,8 @@
             self._queue.clear()
             self._wake.notify_all()
 
-    def _next_command(self) -> tuple[str, Data, ResponseCallback] | None:
-        """Return the next command; None if the thread must end, idle for too long or stopped."""
+    def _next_request(self) -> WorkerRequest | None:
+        """Return the next request; None if the thread must end, idle for too long or stopped."""
         with self._wake:
             if not self._queue and not self._stopped:
                 self._idle_count += 1
@@ -76,16 +85,16 @@
             return None
 
     def _run(self) -> None:
-        while (command := self._next_command()) is not None:
-            self._send(*command)
+        while (request := self._next_request()) is not None:
+            self._send(request)
 
 
 class CommandDispatcher:
     """Sends commands to workers; those to possibly unresponsive workers use a separate pool."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, timeout_s: float) -> None:
         workers = settings.deployment.workers
-        self._timeout_s = workers.heartbeat_interval_s * _TIMEOUT_INTERVALS
+        self._timeout_s = timeout_s
         threads = settings.deployment.machine_limits.threads
         idle_s = workers.lease_s
         self._fast_pool = SenderPool(
@@ -95,22 +104,35 @@
             max(_MIN_POOL_THREADS, threads // _SLOW_POOL_DIVISOR), idle_s, self._send
         )
 
-    def send(self, endpoint: str, body: Data, on_response: ResponseCallback, slow_lane: bool) -> None:
-        """Queue a command. Commands of the slow lane do not delay the others."""
-        (self._slow_pool if slow_lane else self._fast_pool).submit(endpoint, body, on_response)
+    def send(self, request: WorkerRequest, slow_lane: bool) -> None:
+        """Queue a request. Those of the slow lane do not delay the others."""
+        (self._slow_pool if slow_lane else self._fast_pool).submit(request)
 
     def stop(self) -> None:
         """Drop the queued commands of both pools, and end each thread after its current command."""
         self._fast_pool.stop()
         self._slow_pool.stop()
 
-    def _send(self, endpoint: str, body: Data, on_response: ResponseCallback) -> None:
+    def _send(self, request: WorkerRequest) -> None:
         try:
-            on_response(*self._post(endpoint, body))
+            request.on_response(*self._post_if_granted(request))
         except Exception:
             # Every command needs an outcome, and the sender thread must continue.
-            log.exception("command or its callback failed, outcome unknown: endpoint=%s", endpoint)
-            on_response(RequestOutcome.UNKNOWN, None)
+            log.exception("command or its callback failed, outcome unknown: endpoint=%s", request.endpoint)
+            request.on_response(RequestOutcome.UNKNOWN, None)
+
+    def _post_if_granted(self, request: WorkerRequest) -> tuple[RequestOutcome, Heartbeat | None]:
+        """Send a request, unless it has starts whose grant expired while it waited for this thread."""
+        grant, now = request.start_grant, time.monotonic()
+        if grant is not None and not grant.allows_sending(now):
+            log.info(
+                "starts not sent, grant expired: endpoint=%s late_s=%.1f evidence_age_s=%.1f",
+                request.endpoint,
+                now - grant.expires_at,
+                now - grant.cancellations_applied_until,
+            )
+            return RequestOutcome.NOT_SENT, None
+        return self._post(request.endpoint, request.body)
 
     def _post(self, endpoint: str, body: Data) -> tuple[RequestOutcome, Heartbeat | None]:
         try:
--- a/src/poppyhold/node/leader_term.py
+++ b/src/poppyhold/node/leader_term.py
@@ -7,7 +7,7 @@
 import time
 from typing import Protocol
 
-from poppyhold.cluster.authority import RenewalAuthority
+from poppyhold.cluster.authority import AuthorityLimits, RenewalAuthority
 from poppyhold.cluster.election import Election, Term
 from poppyhold.cluster.lease_delegation import DelegationTracker
 from poppyhold.cluster.peer_messages import Pong
@@ -89,9 +89,9 @@
         durations = Durations(settings, options)
         self.loop = DecisionLoop(settings.deployment.machine_limits.max_sockets, workers.heartbeat_interval_s)
         self._committer = Committer(node.store, settings, term.key_revision, self._on_leader_key_lost)
-        self._commands = CommandDispatcher(settings)
+        self._commands = CommandDispatcher(settings, durations.command_timeout_s)
         members = [settings.member, *(known.member for known in settings.peers)]
-        self.authority = RenewalAuthority(durations.unconfirmed_renewal_s, members, term.began_at)
+        self.authority = RenewalAuthority(AuthorityLimits.of(durations), members, term.began_at)
         self.delegations = DelegationTracker(durations, settings.deployment.skew_ms / 1000)
         self._outbound = OutboundAdapter(
             self.loop,
--- a/src/poppyhold/node/outbound_adapter.py
+++ b/src/poppyhold/node/outbound_adapter.py
@@ -16,8 +16,9 @@
 from poppyhold.model.job_status import FinalState
 from poppyhold.model.outbound import CommitPriority, Data, MisdirectedWorker
 from poppyhold.model.outcome import RequestOutcome
+from poppyhold.model.start_grant import StartGrant, StartRefusal
 from poppyhold.node.cloud_dispatcher import CloudDispatcher, DeletionCallback, LaunchCallback
-from poppyhold.node.command_dispatcher import CommandDispatcher, ResponseCallback
+from poppyhold.node.command_dispatcher import CommandDispatcher, ResponseCallback, WorkerRequest
 from poppyhold.node.decision_loop import DecisionLoop
 from poppyhold.node.user_api import UserApi
 from poppyhold.wire.worker_messages import Heartbeat
@@ -60,14 +61,20 @@
         self._committer.submit(CommitUnit(conditions, writes, post_outcome), priority)
 
     def send_commands(
-        self, machine: str, endpoint: str, body: Data, on_response: ResponseCallback, slow_lane: bool
+        self,
+        machine: str,
+        endpoint: str,
+        body: Data,
+        on_response: ResponseCallback,
+        slow_lane: bool,
+        start_grant: StartGrant | None,
     ) -> None:
         """See `OutboundPort`."""
 
         def post_outcome(outcome: RequestOutcome, heartbeat: Heartbeat | None) -> None:
             self._loop.post(DECISIONS, lambda: on_response(outcome, heartbeat))
 
-        self._commands.send(endpoint, body, post_outcome, slow_lane)
+        self._commands.send(WorkerRequest(endpoint, body, post_outcome, start_grant), slow_lane)
 
     def launch_machines(self, body: Data, on_response: LaunchCallback) -> None:
         """See `OutboundPort`."""
@@ -114,13 +121,13 @@
 
     def may_start_tasks(self) -> bool:
         """See `OutboundPort`."""
-        now = time.monotonic()
-        # Both the confirmation of leadership and the watch, which delivers cancellations, must be recent.
-        return (
-            self._loop.alive
-            and now - self._election.confirmed_at < self._election.leader_lease_s
-            and now - self._authority.watch_caught_up_at < self._election.leader_lease_s * 2
-        )
+        return isinstance(self.start_grant(), StartGrant)
+
+    def start_grant(self) -> StartGrant | StartRefusal:
+        """See `OutboundPort`."""
+        if not self._loop.alive:
+            return StartRefusal.TERM_ENDED
+        return self._authority.start_grant(time.monotonic(), self._election.confirmed_at)
 
     def leadership_confirmed_at(self) -> float:
         """See `OutboundPort`."""
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -39,7 +39,7 @@
         teams += [Team(name) for name in head.get("unguaranteed", "").split(",") if name]
 
         def make_world(options: Options) -> World:
-            return World(
+            world = World(
                 seed,
                 float(head.get("lease_s", 10)),
                 float(head.get("cancel_s", 30)),
@@ -51,6 +51,8 @@
                 float(head.get("report_s", 1)),
                 options,
             )
+            world.max_command_threads = int(head.get("command_threads", 0))
+            return world
 
         # With `parts` the fleet consists of several cells; lines that name none apply to the first.
         self.cells = None
--- a/tests/sim_node.py
+++ b/tests/sim_node.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from poppyhold.cluster.authority import RenewalAuthority
+from poppyhold.cluster.authority import AuthorityLimits, RenewalAuthority
 from poppyhold.cluster.connectivity import Connectivity
 from poppyhold.cluster.delegated_renewals import DelegatedRenewals
 from poppyhold.cluster.lease_delegation import DelegationTracker, LeaseDelegation
@@ -28,6 +28,7 @@
 from poppyhold.model.job_status import FinalState, TaskCounts
 from poppyhold.model.outbound import CommitPriority, MisdirectedWorker
 from poppyhold.model.outcome import RequestOutcome
+from poppyhold.model.start_grant import StartGrant, StartRefusal
 from poppyhold.node.controller import Controller
 from poppyhold.node.leader_term import DIRECT_WORKERS_CONNECTION_SHARE
 from poppyhold.node.user_api import UserApi
@@ -44,6 +45,7 @@
 from poppyhold.wire.codec import convert, encode
 from poppyhold.wire.worker_messages import Heartbeat, HeartbeatResponse, parse_heartbeat
 from sim_relay import SimRelay
+from sim_senders import SimSenders
 
 if TYPE_CHECKING:
     from world import World
@@ -114,12 +116,15 @@
         self.confirmed = self.world.now
         self.delegations = DelegationTracker(node.times, 0.0)
         world = self.world
-        self.authority = RenewalAuthority(node.times.unconfirmed_renewal_s, world.members, world.now)
+        self.authority = RenewalAuthority(AuthorityLimits.of(node.times), world.members, world.now)
         self._writer = FencedWriter(node.store, version)
         self._units: deque[tuple[dict[str, int], Sequence[Write], Callable[[bool], None]]] = deque()
         self._priorities: deque[CommitPriority] = deque()
         # Writes of the last transfer whose commit was started.
         self._planned: Sequence[Write] | None = None
+        self._senders = SimSenders(
+            world.max_command_threads or node.settings.deployment.machine_limits.threads
+        )
         # When the next request to each other cell is due.
         self.next_request_at: dict[int, float] = {}
         self.controller = Controller(
@@ -238,7 +243,27 @@
         body: Data,
         on_response: Callable[[RequestOutcome, Heartbeat | None], None],
         slow_lane: bool,
+        start_grant: StartGrant | None,
     ) -> None:
+        def send(release: Callable[[], None]) -> None:
+            def on_outcome(outcome: RequestOutcome, heartbeat: Heartbeat | None) -> None:
+                release()
+                on_response(outcome, heartbeat)
+
+            if start_grant is not None and not start_grant.allows_sending(self.world.now):
+                self._later(0.0, lambda: on_outcome(RequestOutcome.NOT_SENT, None))
+                return
+            self._transmit_commands(endpoint, body, on_outcome)
+
+        self._senders.submit(send, slow_lane)
+
+    def _transmit_commands(
+        self,
+        endpoint: str,
+        body: Data,
+        on_response: Callable[[RequestOutcome, Heartbeat | None], None],
+    ) -> None:
+        """Pass commands to a worker, as the sender thread and the network do."""
         world = self.world
         worker = world.workers.get(endpoint)
 
@@ -344,8 +369,12 @@
         return self.controller.handle_heartbeat(heartbeat)
 
     def may_start_tasks(self) -> bool:
-        now = self.world.now
-        return self.alive and now - self.confirmed < 2.5 and now - self.authority.watch_caught_up_at < 5.0
+        return isinstance(self.start_grant(), StartGrant)
+
+    def start_grant(self) -> StartGrant | StartRefusal:
+        if not self.alive:
+            return StartRefusal.TERM_ENDED
+        return self.authority.start_grant(self.world.now, self.confirmed)
 
     def leadership_confirmed_at(self) -> float:
         return self.confirmed if self.alive else float("-inf")
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -24,6 +24,7 @@
 from poppyhold.model.entities import TASK_DONE, Job, Machine
 from poppyhold.model.fleet import Fleet
 from poppyhold.model.resources import NO_RESOURCES, Resources, max_copies
+from poppyhold.model.start_grant import StartGrant
 from poppyhold.node.controller import Controller
 from poppyhold.node.job_lifecycle import JobLifecycle
 from poppyhold.node.machine_lifecycle import MachineLifecycle
@@ -119,6 +120,7 @@
 # Scenario that must fail, and the guard that is replaced.
 GUARDS = [
     Guard("delayed_start_after_cancel", DirectCommands, "raise_fencing_token", _always),
+    Guard("starts_wait_behind_silent_machines", StartGrant, "allows_sending", _always),
     Guard("delayed_start_after_leader_change", AttemptReconciler, "_absence_proves_termination", _always),
     Guard("limit_counts_unreachable_machines", Quotas, "allows", _always),
     Guard("isolated_leader", RenewalAuthority, "may_renew_leases", _always),
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -454,7 +454,7 @@
     for machine in machines.values():
         machine.endpoint = "127.0.0.1:9"
 
-    def send_commands(machine: str, endpoint: str, body: Any, on_response: Any, slow_lane: bool) -> None:
+    def send_commands(machine: str, *request: Any) -> None:
         probed.append(machine)
 
     ctx: Any = SimpleNamespace(
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -10,7 +10,7 @@
 import msgspec
 import pytest
 
-from poppyhold.cluster.authority import RenewalAuthority
+from poppyhold.cluster.authority import AuthorityLimits, RenewalAuthority
 from poppyhold.cluster.cancellations import Cancellation, Cancellations
 from poppyhold.cluster.lease_delegation import DelegationTracker
 from poppyhold.cluster.peer_messages import PeerMessage, Ping, Pong, receive_peer_message
@@ -140,7 +140,7 @@
 
 
 def test_watermark_is_the_earliest_request_to_any_controller() -> None:
-    authority = RenewalAuthority(20.0, ["a", "b"], began_at=0.0)
+    authority = RenewalAuthority(AuthorityLimits(20.0, 4.0, 4.0), ["a", "b"], began_at=0.0)
     authority.observe_watch(1.0, 10)
     authority.observe_peer("a", 30.0, 10)
     assert authority.cancellation_watermark(50.0) == 1.0
@@ -158,7 +158,7 @@
 
 
 def test_a_late_response_to_an_earlier_request_lowers_no_watermark() -> None:
-    authority = RenewalAuthority(20.0, ["a"], began_at=0.0)
+    authority = RenewalAuthority(AuthorityLimits(20.0, 4.0, 4.0), ["a"], began_at=0.0)
     authority.observe_watch(1.0, 10)
     authority.observe_peer("a", 50.0, 10)
     authority.observe_peer("a", 40.0, 10)
--- a/tests/test_reconciliation.py
+++ b/tests/test_reconciliation.py
@@ -33,7 +33,7 @@
     machine = controller.ctx.fleet.machines["vm-000001"]
     worker = world.workers["vm-000001"]
     sent: list[dict[str, Any]] = []
-    leader_term.send_commands = lambda machine, endpoint, body, on_response, slow_lane: sent.append(body)  # type: ignore[method-assign]
+    leader_term.send_commands = lambda *request: sent.append(request[2])  # type: ignore[method-assign]
     machine.command_in_flight = True
     job = controller.ctx.fleet.jobs["job-000001"]
     controller.reconciler.lifecycle.stop(job.active[0], 0.0, world.now)
@@ -59,7 +59,7 @@
     controller = leader_term.controller
     machine = controller.ctx.fleet.machines["vm-000001"]
     sent: list[dict[str, Any]] = []
-    leader_term.send_commands = lambda machine, endpoint, body, on_response, slow_lane: sent.append(body)  # type: ignore[method-assign]
+    leader_term.send_commands = lambda *request: sent.append(request[2])  # type: ignore[method-assign]
     machine.command_in_flight = True
     job = controller.ctx.fleet.jobs["job-000001"]
     attempt = job.active[0]
--- a/tests/test_reconciliation_proofs.py
+++ b/tests/test_reconciliation_proofs.py
@@ -35,7 +35,13 @@
         self.term.send_commands = self._send_commands  # type: ignore[method-assign]
 
     def _send_commands(
-        self, machine: str, endpoint: str, body: dict[str, Any], on_response: Any, slow_lane: bool
+        self,
+        machine: str,
+        endpoint: str,
+        body: dict[str, Any],
+        on_response: Any,
+        slow_lane: bool,
+        start_grant: Any,
     ) -> None:
         self.sent.append(body)
         self.slow_lane.append(slow_lane)
--- a/tests/test_smoke.py
+++ b/tests/test_smoke.py
@@ -17,7 +17,7 @@
 import msgspec
 import pytest
 
-from poppyhold.node.command_dispatcher import ResponseCallback, SenderPool
+from poppyhold.node.command_dispatcher import SenderPool, WorkerRequest
 from poppyhold.scale.cloud_standin import CloudStandIn
 from poppyhold.scale.controllers import free_port
 from poppyhold.scale.jobs import machine_type_data, submission, wire
@@ -328,15 +328,15 @@
     busy = threading.Event()
     sent: list[str] = []
 
-    def send(endpoint: str, body: Data, on_response: ResponseCallback) -> None:
-        sent.append(endpoint)
-        if endpoint == "silent":
+    def send(request: WorkerRequest) -> None:
+        sent.append(request.endpoint)
+        if request.endpoint == "silent":
             busy.wait(TIMEOUT_S)
 
     pool = SenderPool(41, 1.0, send)
     for _ in range(40):
-        pool.submit("silent", {}, lambda outcome, heartbeat: None)
-    pool.submit("quick", {}, lambda outcome, heartbeat: None)
+        pool.submit(WorkerRequest("silent", {}, lambda outcome, heartbeat: None))
+    pool.submit(WorkerRequest("quick", {}, lambda outcome, heartbeat: None))
     try:
         eventually(lambda: "quick" in sent)
     finally:
--- a/tests/world.py
+++ b/tests/world.py
@@ -79,6 +79,8 @@
         options: Options = _DEFAULTS,
     ) -> None:
         self.options = options
+        # Threads from which the sizes of a leader's sender pools follow; 0: as many as the settings allow.
+        self.max_command_threads = 0
         # The relay mode, and the number of workers from which `AUTO` enables relaying.
         self.relays, self.relays_from = relays, 8.0
         # Whether relays' batches arrive twice, and their additional delay.
