Queued starts whose grant has ended are dropped at the next tick

Seen by callers: behind a queue of silent machines a task waits for up to a minute before its start is given up, and its machine counts as one that a start may still reach.

Cause: an expired request was found only when a sender thread came to it.

Change: each tick removes expired requests with starts from both pools, under the lock with which a sender takes its next one, and reports them as not sent. Once that is reported the request can never leave.

--- a/src/poppyhold/node/command_dispatcher.py
+++ b/src/poppyhold/node/command_dispatcher.py
@@ -38,6 +38,22 @@
     start_grant: StartGrant | None = None
 
 
+def _may_send(request: WorkerRequest, now: float) -> bool:
+    """Whether a request may leave the process now; its starts need a valid grant."""
+    return request.start_grant is None or request.start_grant.allows_sending(now)
+
+
+def _log_expired(request: WorkerRequest, now: float) -> None:
+    grant = request.start_grant
+    if grant is not None:
+        log.info(
+            "starts not sent, grant expired: endpoint=%s late_s=%.1f evidence_age_s=%.1f",
+            request.endpoint,
+            now - grant.expires_at,
+            now - grant.cancellations_applied_until,
+        )
+
+
 class SenderPool:
     """Threads that send commands: added on demand up to a limit, and ended when idle.
 
@@ -49,6 +65,8 @@
     def __init__(self, max_threads: int, idle_s: float, send: Callable[[WorkerRequest], None]) -> None:
         self._max_threads, self._idle_s, self._send = max_threads, idle_s, send
         self._queue: deque[WorkerRequest] = deque()
+        # Requests with starts, in the order of submission, until their grants have expired.
+        self._granted: deque[WorkerRequest] = deque()
         self._wake = threading.Condition(threading.Lock())
         self._thread_count = self._idle_count = 0
         self._stopped = False
@@ -59,17 +77,32 @@
             if self._stopped:
                 return
             self._queue.append(request)
+            if request.start_grant is not None:
+                self._granted.append(request)
             if len(self._queue) <= self._idle_count or self._thread_count >= self._max_threads:
                 self._wake.notify()
                 return
             self._thread_count += 1
         threading.Thread(target=self._run, name="sender", daemon=True).start()
 
+    def remove_expired(self, now: float) -> list[WorkerRequest]:
+        """Remove the queued requests whose grants have expired: none of them is sent."""
+        with self._wake:
+            expired = set()
+            while self._granted and not _may_send(self._granted[0], now):
+                expired.add(id(self._granted.popleft()))
+            if not expired:
+                return []
+            removed = [request for request in self._queue if id(request) in expired]
+            self._queue = deque(request for request in self._queue if id(request) not in expired)
+            return removed
+
     def stop(self) -> None:
         """Drop queued commands, and end each thread after its current command."""
         with self._wake:
             self._stopped = True
             self._queue.clear()
+            self._granted.clear()
             self._wake.notify_all()
 
     def _next_request(self) -> WorkerRequest | None:
@@ -108,6 +141,13 @@
         """Queue a request. Those of the slow lane do not delay the others."""
         (self._slow_pool if slow_lane else self._fast_pool).submit(request)
 
+    def drop_expired_starts(self) -> None:
+        """Report queued requests whose grants have expired as not sent, without waiting for a sender."""
+        now = time.monotonic()
+        for request in (*self._fast_pool.remove_expired(now), *self._slow_pool.remove_expired(now)):
+            _log_expired(request, now)
+            request.on_response(RequestOutcome.NOT_SENT, None)
+
     def stop(self) -> None:
         """Drop the queued commands of both pools, and end each thread after its current command."""
         self._fast_pool.stop()
@@ -123,14 +163,9 @@
 
     def _post_if_granted(self, request: WorkerRequest) -> tuple[RequestOutcome, Heartbeat | None]:
         """Send a request, unless it has starts whose grant expired while it waited for this thread."""
-        grant, now = request.start_grant, time.monotonic()
-        if grant is not None and not grant.allows_sending(now):
-            log.info(
-                "starts not sent, grant expired: endpoint=%s late_s=%.1f evidence_age_s=%.1f",
-                request.endpoint,
-                now - grant.expires_at,
-                now - grant.cancellations_applied_until,
-            )
+        now = time.monotonic()
+        if not _may_send(request, now):
+            _log_expired(request, now)
             return RequestOutcome.NOT_SENT, None
         return self._post(request.endpoint, request.body)
 
--- a/src/poppyhold/node/leader_term.py
+++ b/src/poppyhold/node/leader_term.py
@@ -247,6 +247,7 @@
 
     def _tick(self) -> None:
         """Do the periodic work, and update the state that other threads read."""
+        self._commands.drop_expired_starts()
         self.controller.tick()
         self.cancellations.apply_own_cancellations()
         self.task_counts = self.controller.task_counts()
--- a/tests/sim_node.py
+++ b/tests/sim_node.py
@@ -45,7 +45,7 @@
 from poppyhold.wire.codec import convert, encode
 from poppyhold.wire.worker_messages import Heartbeat, HeartbeatResponse, parse_heartbeat
 from sim_relay import SimRelay
-from sim_senders import SimSenders
+from sim_senders import SimRequest, SimSenders
 
 if TYPE_CHECKING:
     from world import World
@@ -122,8 +122,8 @@
         self._priorities: deque[CommitPriority] = deque()
         # Writes of the last transfer whose commit was started.
         self._planned: Sequence[Write] | None = None
-        self._senders = SimSenders(
-            world.max_command_threads or node.settings.deployment.machine_limits.threads
+        self.senders = SimSenders(
+            world.max_command_threads or node.settings.deployment.machine_limits.threads, lambda: world.now
         )
         # When the next request to each other cell is due.
         self.next_request_at: dict[int, float] = {}
@@ -250,12 +250,12 @@
                 release()
                 on_response(outcome, heartbeat)
 
-            if start_grant is not None and not start_grant.allows_sending(self.world.now):
-                self._later(0.0, lambda: on_outcome(RequestOutcome.NOT_SENT, None))
-                return
             self._transmit_commands(endpoint, body, on_outcome)
 
-        self._senders.submit(send, slow_lane)
+        def on_expired() -> None:
+            self._later(0.0, lambda: on_response(RequestOutcome.NOT_SENT, None))
+
+        self.senders.submit(SimRequest(send, on_expired, start_grant), slow_lane)
 
     def _transmit_commands(
         self,
@@ -576,6 +576,7 @@
             if better is not None and self.reaches_state():
                 leader_term.resign(f"{better} reaches more controllers")
                 return
+            leader_term.senders.drop_expired()
             leader_term.controller.tick()
             leader_term.assignment.update_machines(leader_term.controller.ctx.fleet.machines.keys())
             leader_term.settle()
--- a/tests/sim_senders.py
+++ b/tests/sim_senders.py
@@ -4,29 +4,56 @@
 
 from collections import deque
 from collections.abc import Callable
+from typing import NamedTuple
 
+from poppyhold.model.start_grant import StartGrant
 from poppyhold.node.command_dispatcher import _FAST_POOL_DIVISOR, _MIN_POOL_THREADS, _SLOW_POOL_DIVISOR
 
 # Sends one command; it calls its argument once the command's outcome is known.
 SendCommand = Callable[[Callable[[], None]], None]
 
 
+class SimRequest(NamedTuple):
+    """A command that waits for a sender."""
+
+    send: SendCommand
+    # Called instead of ``send`` if the grant of its starts expires.
+    on_expired: Callable[[], None]
+    start_grant: StartGrant | None
+
+    def may_send(self, now: float) -> bool:
+        """Whether the command may still be sent."""
+        return self.start_grant is None or self.start_grant.allows_sending(now)
+
+
 class SimSenderPool:
     """A pool of `node.command_dispatcher`, in virtual time."""
 
-    def __init__(self, senders: int) -> None:
-        self._idle = senders
-        self._queue: deque[SendCommand] = deque()
+    def __init__(self, senders: int, clock: Callable[[], float]) -> None:
+        self._idle, self._clock = senders, clock
+        self._queue: deque[SimRequest] = deque()
 
-    def submit(self, send: SendCommand) -> None:
+    def submit(self, request: SimRequest) -> None:
         """Send a command as soon as a sender is idle."""
-        self._queue.append(send)
+        self._queue.append(request)
         self._send_next()
 
+    def drop_expired(self) -> None:
+        """Drop the commands whose grants have expired."""
+        now = self._clock()
+        expired = [request for request in self._queue if not request.may_send(now)]
+        self._queue = deque(request for request in self._queue if request.may_send(now))
+        for request in expired:
+            request.on_expired()
+
     def _send_next(self) -> None:
-        if self._idle and self._queue:
-            self._idle -= 1
-            self._queue.popleft()(self._on_outcome)
+        while self._idle and self._queue:
+            request = self._queue.popleft()
+            if request.may_send(self._clock()):
+                self._idle -= 1
+                request.send(self._on_outcome)
+            else:
+                request.on_expired()
 
     def _on_outcome(self) -> None:
         self._idle += 1
@@ -36,10 +63,15 @@
 class SimSenders:
     """Both pools of a leader."""
 
-    def __init__(self, threads: int) -> None:
-        self._fast = SimSenderPool(max(_MIN_POOL_THREADS, threads // _FAST_POOL_DIVISOR))
-        self._slow = SimSenderPool(max(_MIN_POOL_THREADS, threads // _SLOW_POOL_DIVISOR))
+    def __init__(self, threads: int, clock: Callable[[], float]) -> None:
+        self._fast = SimSenderPool(max(_MIN_POOL_THREADS, threads // _FAST_POOL_DIVISOR), clock)
+        self._slow = SimSenderPool(max(_MIN_POOL_THREADS, threads // _SLOW_POOL_DIVISOR), clock)
 
-    def submit(self, send: SendCommand, slow_lane: bool) -> None:
+    def submit(self, request: SimRequest, slow_lane: bool) -> None:
         """Send a command through the pool of its lane."""
-        (self._slow if slow_lane else self._fast).submit(send)
+        (self._slow if slow_lane else self._fast).submit(request)
+
+    def drop_expired(self) -> None:
+        """Drop the commands of both pools whose grants have expired."""
+        self._fast.drop_expired()
+        self._slow.drop_expired()
--- a/tests/test_command_dispatcher.py
+++ b/tests/test_command_dispatcher.py
@@ -107,6 +107,19 @@
     assert (outcomes.seen, worker.received) == ([RequestOutcome.NOT_SENT], [])
 
 
+def test_a_start_whose_grant_expired_does_not_wait_for_a_sender_to_be_reported(
+    dispatcher: CommandDispatcher, worker: RecordingWorker, silent_endpoint: str
+) -> None:
+    starts, stops = Outcomes(), Outcomes()
+    occupy_senders(dispatcher, silent_endpoint)
+    dispatcher.send(WorkerRequest(worker.endpoint, START, starts.record, grant_for(0.0)), slow_lane=False)
+    dispatcher.send(WorkerRequest(worker.endpoint, STOP, stops.record), slow_lane=False)
+    dispatcher.drop_expired_starts()
+    assert (starts.seen, stops.seen) == ([RequestOutcome.NOT_SENT], [])
+    stops.await_count(1)
+    assert (starts.seen, worker.received) == ([RequestOutcome.NOT_SENT], [STOP])
+
+
 def test_a_stop_that_waited_for_a_sender_is_still_sent(
     dispatcher: CommandDispatcher, worker: RecordingWorker, silent_endpoint: str
 ) -> None:
