A lease ends where only its end voids a late start of a cancelled job

Seen by callers: a task of a cancelled job is started more than cancel_s after its user was told (rule ran_cancelled).

Cause: action on a right that can no longer be taken back. A direct start without an answer may be executed at any later time; the leader voids it by raising its fencing token, which has to be durable first. In an outage of the state service it can't be. The leader knew of the cancellation and answered the machine with stops, each of which came before the start and renewed the lease, so that the start found a valid session when the network delivered it. docs/correctness.md argued that a machine which may hold a cancelled task gets its stop with every answer; that is true, and not enough for a start that comes after the stop.

Evidence: scenario start_held_back_in_state_outage (starts held back 40 s, cancel_s 20, outage of 60 s from 0.3 s after the cancellation).

Why it works: once a job is finalized, a machine to which a start of it may still come is answered only until the time up to which leases could be renewed on the evidence from before the cancellation was applied. That evidence is older than the user's answer, so the lease ends within cancel_s of it, and a start for the ended incarnation is rejected. An answer that carries the voiding token is allowed: the worker that takes it as a renewal takes the token as well.

--- a/src/poppyhold/cluster/authority.py
+++ b/src/poppyhold/cluster/authority.py
@@ -69,9 +69,13 @@
         """
         return max(min(self.watch_caught_up_at, confirmed_at), min(self._peer_watermarks.values()))
 
+    def renewals_allowed_until(self, confirmed_at: float) -> float:
+        """Until when workers' leases may be renewed on the present evidence."""
+        return self.cancellation_watermark(confirmed_at) + self._limits.unconfirmed_renewal_s
+
     def may_renew_leases(self, now: float, confirmed_at: float) -> bool:
         """Whether workers' leases may be renewed."""
-        return now <= self.cancellation_watermark(confirmed_at) + self._limits.unconfirmed_renewal_s
+        return now <= self.renewals_allowed_until(confirmed_at)
 
     def start_grant(self, now: float, confirmed_at: float) -> StartGrant | StartRefusal:
         """Grant the sending of starts, or say why they are refused.
@@ -85,5 +89,5 @@
         if now - self.watch_caught_up_at >= limits.leader_lease_s * _MAX_WATCH_AGE_LEADER_LEASES:
             return StartRefusal.CANCELLATIONS_UNKNOWN
         applied_until = self.cancellation_watermark(confirmed_at)
-        expires_at = min(now + limits.start_valid_s, applied_until + limits.unconfirmed_renewal_s)
+        expires_at = min(now + limits.start_valid_s, self.renewals_allowed_until(confirmed_at))
         return StartGrant(applied_until, expires_at)
--- a/src/poppyhold/execution/reconciliation.py
+++ b/src/poppyhold/execution/reconciliation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 
 from poppyhold.execution.attempt_lifecycle import AttemptLifecycle
@@ -11,10 +12,12 @@
 from poppyhold.execution.machine_records import request_machine_record
 from poppyhold.execution.task_observation import TaskObserver
 from poppyhold.model.context import Context
-from poppyhold.model.entities import Attempt, Job, Machine, StartChannel
+from poppyhold.model.entities import Attempt, Job, JobPhase, Machine, StartChannel
 from poppyhold.model.outcome import RequestOutcome
 from poppyhold.wire.worker_messages import Heartbeat, HeartbeatResponse, TaskState
 
+log = logging.getLogger(__name__)
+
 
 class AttemptReconciler:
     """Updates the tasks of every machine from its newest heartbeat only; older ones get a response."""
@@ -56,7 +59,6 @@
         if heartbeat.fencing_token < ctx.term_fencing_token and self._seems_to_miss_responses(machine, now):
             self.lifecycle.commands.request_heartbeat(machine, now)
             return None
-        machine.last_answered_at = now
         if not machine.is_up:
             machine.is_up = True
             machine.up_at = now
@@ -65,11 +67,16 @@
         # A heartbeat with an earlier term's fencing token, or whose incarnation and sequence number are not
         # above the machine's, may be a duplicate of any age: it gets a response, but its tasks are not
         # applied.
-        if heartbeat.fencing_token < ctx.term_fencing_token:
+        is_outdated = heartbeat.fencing_token < ctx.term_fencing_token
+        is_applied = not is_outdated and self._is_newer(heartbeat, machine)
+        if is_outdated:
             self.lifecycle.commands.request_heartbeat(machine, now)
-            commands = self._heartbeat_commands.stop_commands(machine, heartbeat, now)
-        elif self._is_newer(heartbeat, machine):
+        elif is_applied:
             self._apply_heartbeat(machine, heartbeat, now, is_unsolicited=True)
+        if self._lease_must_expire(machine, now):
+            return None
+        machine.last_answered_at = now
+        if is_applied:
             commands = self._heartbeat_commands.commands_for_new_heartbeat(machine, heartbeat, now)
         else:
             commands = self._heartbeat_commands.stop_commands(machine, heartbeat, now)
@@ -80,6 +87,27 @@
         """Whether a heartbeat is newer than all applied before; duplicates and late ones are not."""
         return (heartbeat.incarnation, heartbeat.sequence) > (machine.incarnation, machine.sequence)
 
+    def _lease_must_expire(self, machine: Machine, now: float) -> bool:
+        """Whether only the end of the worker's lease can void a late start of a finalized job in time.
+
+        A stop is executed before such a start, and has no effect. A higher fencing token voids the start, but
+        can't be made durable without the state service.
+        """
+        for attempt in machine.attempts.values():
+            if (
+                attempt.job.phase is JobPhase.FINALIZED
+                and now > attempt.job.renewals_allowed_until
+                and attempt.start_may_follow_response(self._ctx.fencing_token)
+            ):
+                log.info(
+                    "lease not renewed, finalized job may be started late: machine=%s task=%s attempt=%d",
+                    machine.name,
+                    attempt.name,
+                    attempt.number,
+                )
+                return True
+        return False
+
     def _seems_to_miss_responses(self, machine: Machine, now: float) -> bool:
         """Whether responses seem not to reach an unreconciled worker, so that its lease is left to expire.
 
--- a/src/poppyhold/model/entities.py
+++ b/src/poppyhold/model/entities.py
@@ -101,6 +101,13 @@
         """The task's name."""
         return task_name(self.job.id, self.index)
 
+    def start_may_follow_response(self, fencing_token: int) -> bool:
+        """Whether a direct start of it may be executed after a response that carries this fencing token."""
+        return self.status == TaskState.SENT and (
+            self.start_in_flight
+            or (self.void_at_fencing_token is not None and self.void_at_fencing_token > fencing_token)
+        )
+
 
 class JobFailures(msgspec.Struct, eq=False):
     """Failure history of a job; see `execution.failures`."""
@@ -160,6 +167,8 @@
     # Whether it fits into its team's guarantee, after the team's jobs of higher priority and earlier ones.
     within_guarantee: bool = False
     phase: JobPhase = JobPhase.ACTIVE
+    # Once finalized: until when leases are renewed on machines that a start of it may still reach.
+    renewals_allowed_until: float = float("inf")
     # Whether records of its completed tasks are being written.
     completions_save_in_flight: bool = False
     # Keys of the records that hold its completed tasks.
--- a/src/poppyhold/model/outbound.py
+++ b/src/poppyhold/model/outbound.py
@@ -98,6 +98,9 @@
     def start_grant(self) -> StartGrant | StartRefusal:
         """Grant the sending of starts to workers, or say why they are refused."""
 
+    def renewals_allowed_until(self) -> float:
+        """Return until when workers' leases may be renewed on the present evidence."""
+
     def leadership_confirmed_at(self) -> float:
         """Return the latest time at which certainly no other controller led."""
 
--- a/src/poppyhold/node/job_lifecycle.py
+++ b/src/poppyhold/node/job_lifecycle.py
@@ -129,6 +129,8 @@
         if job is None or job.phase is JobPhase.FINALIZED:
             return
         job.phase = JobPhase.FINALIZED
+        # A cancellation that is not applied yet was confirmed after the evidence for these renewals.
+        job.renewals_allowed_until = self._ctx.outbound.renewals_allowed_until()
         self._autoscaler.arrivals.record_end(self._ctx.clock(), job.spec)
         self._on_active_jobs_changed()
         self._admission.release_planned_starts(job)
--- a/src/poppyhold/node/outbound_adapter.py
+++ b/src/poppyhold/node/outbound_adapter.py
@@ -129,6 +129,10 @@
             return StartRefusal.TERM_ENDED
         return self._authority.start_grant(time.monotonic(), self._election.confirmed_at)
 
+    def renewals_allowed_until(self) -> float:
+        """See `OutboundPort`."""
+        return self._authority.renewals_allowed_until(self._election.confirmed_at)
+
     def leadership_confirmed_at(self) -> float:
         """See `OutboundPort`."""
         return self._election.confirmed_at if self._loop.alive else float("-inf")
--- a/tests/sim_node.py
+++ b/tests/sim_node.py
@@ -376,6 +376,9 @@
             return StartRefusal.TERM_ENDED
         return self.authority.start_grant(self.world.now, self.confirmed)
 
+    def renewals_allowed_until(self) -> float:
+        return self.authority.renewals_allowed_until(self.confirmed)
+
     def leadership_confirmed_at(self) -> float:
         return self.confirmed if self.alive else float("-inf")
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -120,6 +120,7 @@
 # Scenario that must fail, and the guard that is replaced.
 GUARDS = [
     Guard("delayed_start_after_cancel", DirectCommands, "raise_fencing_token", _always),
+    Guard("start_held_back_in_state_outage", AttemptReconciler, "_lease_must_expire", _never),
     Guard("starts_wait_behind_silent_machines", StartGrant, "allows_sending", _always),
     Guard("delayed_start_after_leader_change", AttemptReconciler, "_absence_proves_termination", _always),
     Guard("limit_counts_unreachable_machines", Quotas, "allows", _always),
--- a/tests/test_reconciliation_proofs.py
+++ b/tests/test_reconciliation_proofs.py
@@ -8,10 +8,10 @@
 import msgspec
 import pytest
 
-from poppyhold.durable.keys import FENCING_TOKEN_KEY
+from poppyhold.durable.keys import ACTIVE_JOB_PREFIX, FENCING_TOKEN_KEY
 from poppyhold.execution.direct_commands import DirectCommands
 from poppyhold.execution.reconciliation import AttemptReconciler
-from poppyhold.model.entities import Attempt, Job, Machine, StartChannel
+from poppyhold.model.entities import Attempt, Job, JobPhase, Machine, StartChannel
 from poppyhold.model.outcome import RequestOutcome
 from poppyhold.wire.worker_messages import Command, CommandKind, Heartbeat, TaskState, parse_heartbeat
 from test_reconciliation import leading_world
@@ -458,3 +458,33 @@
     assert (harness.ctx.fencing_token, raised) == (fencing_token + 1, [fencing_token + 1])
     commands.raise_fencing_token()
     assert commits == []
+
+
+@pytest.mark.parametrize(
+    ("phase", "raised", "renewed"),
+    [
+        pytest.param(JobPhase.FINALIZED, False, False, id="late-start-of-a-cancelled-job"),
+        pytest.param(JobPhase.FINALIZED, True, True, id="response-carries-the-voiding-fencing-token"),
+        pytest.param(JobPhase.ACTIVE, False, True, id="job-is-active"),
+    ],
+)
+def test_a_lease_ends_before_a_late_start_of_a_cancelled_job_that_no_fencing_token_voids(
+    harness: ReconciliationHarness, phase: JobPhase, raised: bool, renewed: bool
+) -> None:
+    void_at = harness.ctx.fencing_token + 1
+    harness.started(start_channel=StartChannel.DIRECT, void_at_fencing_token=void_at)
+    harness.job.phase, harness.job.renewals_allowed_until = phase, harness.world.now - 1.0
+    harness.world.workers["vm-000001"].tasks.clear()
+    if raised:
+        harness.ctx.fencing_token = void_at
+    answered_at = harness.machine.last_answered_at
+    response = harness.reconciler.handle_heartbeat(harness.heartbeat())
+    assert (response is not None, harness.machine.last_answered_at > answered_at) == (renewed, renewed)
+
+
+def test_a_cancelled_job_keeps_the_renewal_bound_from_before_its_cancellation(
+    harness: ReconciliationHarness,
+) -> None:
+    bound = harness.term.renewals_allowed_until()
+    harness.term.controller.handle_job_removed(ACTIVE_JOB_PREFIX + harness.job.id)
+    assert harness.job.renewals_allowed_until == bound
