KNOWN-RED: a page that was read before a cancellation counts as new

The watch then reports every change until the last request as applied, although its first pages may be older by the whole outage. Until its next poll succeeds, leases are renewed, and tasks may be started, on a cancellation watermark that is too new: stale evidence. One page holds 1,000 jobs, so fleets below that are not concerned.

test_no_lease_is_renewed_on_a_page_that_was_read_before_a_cancellation fails with the sources as they are: after an outage of 60 s between two pages a lease is renewed where the bound is 20 s.

--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from poppyhold.cluster.authority import AuthorityLimits, RenewalAuthority
 from poppyhold.durable.changes import DeletedKey, Entry, WatchEvent
 from poppyhold.durable.errors import OutcomeUnknownError, StoreRejectedError, WatchCompactedError
 from poppyhold.durable.store import Changes, Page, Store
@@ -146,3 +147,47 @@
     store.stop = watcher.stop
     watcher._run()
     assert (recorder.snapshots, store.polled_since) == ([1], [10])
+
+
+class TwoPageStore(ScriptedStore):
+    """A state service whose second page is refused once, while a key of the first page is deleted."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.refusals = 1
+
+    def page(self, prefix: str, after: str, max_entries: int = 1000) -> Page:
+        self.pages += 1
+        if not after:
+            return Page([Entry(f"{PREFIX}cancelled", {"page": 1}, 5)], True, 10)
+        if self.refusals:
+            self.refusals -= 1
+            raise StoreRejectedError("503")
+        return Page([], False, 20)
+
+
+def test_no_lease_is_renewed_on_a_page_that_was_read_before_a_cancellation() -> None:
+    unconfirmed_renewal_s, outage_s = 20.0, 60.0
+    store, now = TwoPageStore(), [0.0]
+    authority = RenewalAuthority(AuthorityLimits(unconfirmed_renewal_s, 4.0, 4.0), ["hive-0", "hive-1"], 0.0)
+    caught_up: list[float] = []
+
+    def on_caught_up(requested_at: float, revision: int) -> None:
+        authority.observe_watch(requested_at, revision)
+        caught_up.append(requested_at)
+        watcher.stop()
+
+    watcher = Watch(
+        store, PREFIX, 0.01, lambda entries: None, lambda change: None, lambda: now[0], on_caught_up
+    )
+    read = store.page
+
+    def page(prefix: str, after: str, max_entries: int = 1000) -> Page:
+        if after and store.refusals:
+            now[0] += outage_s
+        return read(prefix, after, max_entries)
+
+    store.page = page  # type: ignore[method-assign]
+    watcher._run()
+    assert len(caught_up) == 1
+    assert not authority.may_renew_leases(now[0], confirmed_at=now[0])
