--- a/tests/test_lease_delegation.py
+++ b/tests/test_lease_delegation.py
@@ -187,3 +187,15 @@
     assert tracker.latest_possible_renewal_at(longest_s - 1.0) == longest_s - 2.0
     # Silent again without a newer grant: the bound does not go back.
     assert tracker.latest_possible_renewal_at(longest_s + 50.0) == longest_s
+
+
+def test_a_renewal_while_a_ping_was_in_transit_is_within_the_bound() -> None:
+    durations = make_durations()
+    tracker = DelegationTracker(durations, SKEW_S)
+    tracker.record_grant("hive-1", 0.0)
+    sent_at = durations.delegated_renewal_after_s + 2.0
+    arrived_at = sent_at + 1.0
+    tracker.record_grant("hive-1", sent_at)
+    renewed_at = arrived_at - 0.1
+    tracker.record_response("hive-1", sent_at)
+    assert tracker.latest_possible_renewal_at(arrived_at) >= renewed_at
