Assert safety invariants where actions leave the process

An unsafe action was so far seen by its consequences alone, and without logs not at all. Four rules are now asserted where the action leaves: a start needs a grant (command dispatcher), no start of a finalized job is sent (direct commands), no lease is renewed while an attempt of a finalized job on its machine has no stop (reconciliation), no final state is answered without the revision of its record (job states). A violation logs one error line with rule, subject and evidence, is counted, and refuses the action; the service goes on.

test_a_start_is_granted_only_on_recent_evidence pins the evidence for starts, which no test named by itself.

--- a/src/poppyhold/execution/direct_commands.py
+++ b/src/poppyhold/execution/direct_commands.py
@@ -8,8 +8,9 @@
 from poppyhold.durable.changes import put_record
 from poppyhold.durable.keys import FENCING_TOKEN_KEY
 from poppyhold.durable.records import FencingTokenRecord
+from poppyhold.execution.invariant_checks import record_start_of_finalized_job
 from poppyhold.model.context import Context
-from poppyhold.model.entities import Attempt, Machine
+from poppyhold.model.entities import Attempt, JobPhase, Machine
 from poppyhold.model.outbound import CommitPriority
 from poppyhold.model.outcome import RequestOutcome
 from poppyhold.model.start_grant import StartGrant, StartRefusal
@@ -162,6 +163,10 @@
         if attempt.stop_requested_at is not None or not granted:
             self._on_start_discarded(attempt)
             return False
+        if attempt.job.phase is JobPhase.FINALIZED:
+            record_start_of_finalized_job(attempt, self._ctx.fencing_token)
+            self._on_start_discarded(attempt)
+            return False
         return True
 
     def discard(self, machine: Machine) -> None:
--- a/src/poppyhold/execution/reconciliation.py
+++ b/src/poppyhold/execution/reconciliation.py
@@ -8,6 +8,7 @@
 from poppyhold.execution.attempt_lifecycle import AttemptLifecycle
 from poppyhold.execution.failures import FailureTracker
 from poppyhold.execution.heartbeat_commands import HeartbeatCommands
+from poppyhold.execution.invariant_checks import stops_all_finalized_jobs
 from poppyhold.execution.lease_expiry import LeaseExpiry
 from poppyhold.execution.machine_records import request_machine_record
 from poppyhold.execution.task_observation import TaskObserver
@@ -73,7 +74,7 @@
             self.lifecycle.commands.request_heartbeat(machine, now)
         elif is_applied:
             self._apply_heartbeat(machine, heartbeat, now, is_unsolicited=True)
-        if self._lease_must_expire(machine, now):
+        if self._lease_must_expire(machine, now) or not stops_all_finalized_jobs(machine, ctx.fencing_token):
             return None
         machine.last_answered_at = now
         if is_applied:
--- a/src/poppyhold/node/command_dispatcher.py
+++ b/src/poppyhold/node/command_dispatcher.py
@@ -11,13 +11,15 @@
 from typing import NamedTuple
 
 from poppyhold.configuration_checks import ConfigError, split_address
+from poppyhold.model.invariants import Invariant, violations
 from poppyhold.model.outbound import Data
 from poppyhold.model.outcome import RequestOutcome
 from poppyhold.model.start_grant import StartGrant
 from poppyhold.settings import Settings
+from poppyhold.wire import field_names
 from poppyhold.wire.codec import MalformedError
 from poppyhold.wire.http_client import HttpClient, NoResponseError, NotSentError
-from poppyhold.wire.worker_messages import Heartbeat, parse_heartbeat
+from poppyhold.wire.worker_messages import CommandKind, Heartbeat, parse_heartbeat
 
 log = logging.getLogger(__name__)
 
@@ -43,6 +45,11 @@
     return request.start_grant is None or request.start_grant.allows_sending(now)
 
 
+def _has_start(request: WorkerRequest) -> bool:
+    commands = request.body.get(field_names.COMMANDS, ())
+    return any(command[field_names.COMMAND_KIND] == CommandKind.START for command in commands)
+
+
 def _log_expired(request: WorkerRequest, now: float) -> None:
     grant = request.start_grant
     if grant is not None:
@@ -164,6 +171,9 @@
     def _post_if_granted(self, request: WorkerRequest) -> tuple[RequestOutcome, Heartbeat | None]:
         """Send a request, unless it has starts whose grant expired while it waited for this thread."""
         now = time.monotonic()
+        if request.start_grant is None and _has_start(request):
+            violations.record(Invariant.START_NEEDS_GRANT, request.endpoint, "grant=none")
+            return RequestOutcome.NOT_SENT, None
         if not _may_send(request, now):
             _log_expired(request, now)
             return RequestOutcome.NOT_SENT, None
--- a/src/poppyhold/node/job_states.py
+++ b/src/poppyhold/node/job_states.py
@@ -6,8 +6,10 @@
 
 from poppyhold.cluster.cancellations import Cancellations
 from poppyhold.concurrency.bounded_dict import BoundedDict
+from poppyhold.durable.errors import OutcomeUnknownError
 from poppyhold.durable.keys import ACTIVE_JOB_PREFIX, FINAL_JOB_PREFIX
 from poppyhold.durable.store import Store
+from poppyhold.model.invariants import Invariant, violations
 from poppyhold.model.job_status import FinalState, JobStatus, TaskCounts
 from poppyhold.wire import field_names
 
@@ -63,7 +65,15 @@
         return final
 
     def record_final(self, job_id: str, final: FinalState, revision: int) -> None:
-        """Cache a durable final state before it is sent to the user."""
+        """Cache a durable final state before it is sent to the user.
+
+        Raises:
+            OutcomeUnknownError: ``revision`` is not that of a record, so the state may not be durable.
+
+        """
+        if revision <= 0:
+            violations.record(Invariant.FINAL_ANSWER_IS_DURABLE, job_id, f"revision={revision}")
+            raise OutcomeUnknownError(f"no durable record of the final state of {job_id}")
         # Before the state is cached, and so sent to users: from then on, pongs must include the cancellation.
         if final.status == JobStatus.CANCELLED:
             self._cancellations.add(job_id, revision)
--- a/src/poppyhold/scale/run.py
+++ b/src/poppyhold/scale/run.py
@@ -16,6 +16,7 @@
 
 from poppyhold.durable.keys import LEADER_KEY
 from poppyhold.scale.checks import RuleChecks
+from poppyhold.scale.controller_logs import violated_invariants
 from poppyhold.scale.controllers import ControllerProcess, Controllers, team_limits
 from poppyhold.scale.external_services import StateService
 from poppyhold.scale.fleet import Fleet
@@ -299,6 +300,7 @@
         measured_s = max(0.001, time.monotonic() - measured_since)
         figures, users = self.fleet.figures, self.users
         peer_bytes = self.controllers.peer_bytes() - self._peer_bytes_before
+        broken_invariants = violated_invariants(self._folder)
         starts = {f"start, {name}": latency.summary() for name, latency in users.starts.items()}
         return Result(
             profile=msgspec.to_builtins(self.profile),
@@ -347,8 +349,8 @@
             state_requests=dict(self.state.requests),
             statuses={str(status): count for status, count in users.statuses.items()},
             faults=self._faults,
-            broken=self.checks.violations.messages,
-            broken_count=self.checks.violations.count,
+            broken=[*self.checks.violations.messages, *broken_invariants],
+            broken_count=self.checks.violations.count + len(broken_invariants),
             stopped=self._stop_reason,
         )
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+import logging
+from collections.abc import Iterator
+
 import pytest
 
 import known_red
+from poppyhold.model.invariants import VIOLATION_PREFIX
 
 _FILE = "KNOWN-RED.txt"
 # Outcomes of listed tests in pytest's statistics.
 _FAILED, _PASSED = "xfailed", "xpassed"
+# Marks a test that makes an invariant's assertion fail.
+_VIOLATES = "violates_invariant"
 
 
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
@@ -30,3 +36,27 @@
     for outcome, text in ((_FAILED, "fails, as listed"), (_PASSED, "passes: remove its entry")):
         for report in terminalreporter.stats.get(outcome, []):
             terminalreporter.write_line(f"{_FILE}: {report.nodeid} {text}: {report.wasxfail}")
+
+
+class _Violations(logging.Handler):
+    """Collects the error lines of violated invariants."""
+
+    def __init__(self) -> None:
+        super().__init__(logging.ERROR)
+        self.lines: list[str] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        line = record.getMessage()
+        if line.startswith(VIOLATION_PREFIX):
+            self.lines.append(line)
+
+
+@pytest.fixture(autouse=True)
+def invariant_violations(request: pytest.FixtureRequest) -> Iterator[list[str]]:
+    """The violations logged during a test, which fail it unless it is marked to cause some."""
+    handler, logger = _Violations(), logging.getLogger("poppyhold")
+    logger.addHandler(handler)
+    yield handler.lines
+    logger.removeHandler(handler)
+    if request.node.get_closest_marker(_VIOLATES) is None:
+        assert handler.lines == []
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -23,10 +23,12 @@
     tests.mkdir()
     for name in ("conftest.py", "known_red.py"):
         shutil.copy(TESTS / name, tests / name)
+    source = TESTS.parent / "src"
     (tests / "test_some.py").write_text(SOME_TESTS, encoding="utf-8")
     (folder / "KNOWN-RED.txt").write_text(listed, encoding="utf-8")
     (folder / "pyproject.toml").write_text(
-        '[tool.pytest.ini_options]\ntestpaths = ["tests"]\npythonpath = ["tests"]\n', encoding="utf-8"
+        f'[tool.pytest.ini_options]\ntestpaths = ["tests"]\npythonpath = ["tests", "{source}"]\n',
+        encoding="utf-8",
     )
     command = [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider"]
     return subprocess.run(command, cwd=folder, capture_output=True, text=True, check=False)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -18,6 +18,7 @@
 from poppyhold.configuration_checks import split_address
 from poppyhold.model.context import ImageHints
 from poppyhold.model.job_status import TaskCounts
+from poppyhold.model.start_grant import StartGrant, StartRefusal
 from poppyhold.node.service import Node
 from poppyhold.options import Options
 from poppyhold.quota.messages import QuotaRequest, QuotaResponse
@@ -157,6 +158,24 @@
     assert not authority.may_renew_leases(62.0, 41.0)
 
 
+@pytest.mark.parametrize(
+    ("now", "confirmed_at", "caught_up_at", "decision"),
+    [
+        pytest.param(10.0, 6.5, 6.0, StartGrant(6.0, 14.0), id="recent"),
+        pytest.param(10.0, 6.0, 9.0, StartRefusal.LEADERSHIP_UNCONFIRMED, id="lead-not-confirmed"),
+        pytest.param(10.0, 9.0, 2.0, StartRefusal.CANCELLATIONS_UNKNOWN, id="watch-not-caught-up"),
+        pytest.param(10.0, 8.0, 3.0, StartGrant(3.0, 11.0), id="ends-with-renewals"),
+    ],
+)
+def test_a_start_is_granted_only_on_recent_evidence(
+    now: float, confirmed_at: float, caught_up_at: float, decision: StartGrant | StartRefusal
+) -> None:
+    limits = AuthorityLimits(unconfirmed_renewal_s=8.0, leader_lease_s=4.0, start_valid_s=4.0)
+    authority = RenewalAuthority(limits, ["a", "b"], began_at=0.0)
+    authority.observe_watch(caught_up_at, 1)
+    assert authority.start_grant(now, confirmed_at) == decision
+
+
 def test_a_late_response_to_an_earlier_request_lowers_no_watermark() -> None:
     authority = RenewalAuthority(AuthorityLimits(20.0, 4.0, 4.0), ["a"], began_at=0.0)
     authority.observe_watch(1.0, 10)
--- a/tests/test_reconciliation_proofs.py
+++ b/tests/test_reconciliation_proofs.py
@@ -474,6 +474,7 @@
     void_at = harness.ctx.fencing_token + 1
     harness.started(start_channel=StartChannel.DIRECT, void_at_fencing_token=void_at)
     harness.job.phase, harness.job.renewals_allowed_until = phase, harness.world.now - 1.0
+    harness.attempt.stop_requested_at = harness.world.now - 1.0
     harness.world.workers["vm-000001"].tasks.clear()
     if raised:
         harness.ctx.fencing_token = void_at
