--- a/src/poppyhold/execution/invariant_checks.py
+++ b/src/poppyhold/execution/invariant_checks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from poppyhold.model.entities import Attempt, JobPhase, Machine
+from poppyhold.model.entities import Attempt
 from poppyhold.model.invariants import Invariant, violations
 
 
@@ -15,17 +15,16 @@
     )
 
 
-def stops_all_finalized_jobs(machine: Machine, fencing_token: int) -> bool:
-    """Whether each attempt of a finalized job on the machine is to be stopped; a violation is recorded.
+def has_stop(attempt: Attempt, fencing_token: int) -> bool:
+    """Whether an attempt of a finalized job is to be stopped; if not, a violation is recorded.
 
-    A response that renews the machine's lease carries the stops of these attempts, and of no others.
+    A response that renews its machine's lease carries the stops of these attempts.
     """
-    for attempt in machine.attempts.values():
-        if attempt.job.phase is JobPhase.FINALIZED and attempt.stop_requested_at is None:
-            violations.record(
-                Invariant.RENEWAL_STOPS_FINALIZED_JOB,
-                attempt.name,
-                f"machine={machine.name} attempt={attempt.number} fencing_token={fencing_token}",
-            )
-            return False
-    return True
+    if attempt.stop_requested_at is not None:
+        return True
+    violations.record(
+        Invariant.RENEWAL_STOPS_FINALIZED_JOB,
+        attempt.name,
+        f"machine={attempt.machine.name} attempt={attempt.number} fencing_token={fencing_token}",
+    )
+    return False
--- a/src/poppyhold/execution/reconciliation.py
+++ b/src/poppyhold/execution/reconciliation.py
@@ -8,7 +8,7 @@
 from poppyhold.execution.attempt_lifecycle import AttemptLifecycle
 from poppyhold.execution.failures import FailureTracker
 from poppyhold.execution.heartbeat_commands import HeartbeatCommands
-from poppyhold.execution.invariant_checks import stops_all_finalized_jobs
+from poppyhold.execution.invariant_checks import has_stop
 from poppyhold.execution.lease_expiry import LeaseExpiry
 from poppyhold.execution.machine_records import request_machine_record
 from poppyhold.execution.task_observation import TaskObserver
@@ -19,6 +19,9 @@
 
 log = logging.getLogger(__name__)
 
+# Bound once: it is compared for every attempt of every heartbeat.
+_FINALIZED = JobPhase.FINALIZED
+
 
 class AttemptReconciler:
     """Updates the tasks of every machine from its newest heartbeat only; older ones get a response."""
@@ -74,7 +77,7 @@
             self.lifecycle.commands.request_heartbeat(machine, now)
         elif is_applied:
             self._apply_heartbeat(machine, heartbeat, now, is_unsolicited=True)
-        if self._lease_must_expire(machine, now) or not stops_all_finalized_jobs(machine, ctx.fencing_token):
+        if not self._may_renew_lease(machine, now):
             return None
         machine.last_answered_at = now
         if is_applied:
@@ -88,26 +91,32 @@
         """Whether a heartbeat is newer than all applied before; duplicates and late ones are not."""
         return (heartbeat.incarnation, heartbeat.sequence) > (machine.incarnation, machine.sequence)
 
-    def _lease_must_expire(self, machine: Machine, now: float) -> bool:
+    def _may_renew_lease(self, machine: Machine, now: float) -> bool:
+        """Whether a response may renew the machine's lease, given its attempts of finalized jobs."""
+        for attempt in machine.attempts.values():
+            if attempt.job.phase is _FINALIZED and (
+                self._lease_must_expire(attempt, now) or not has_stop(attempt, self._ctx.fencing_token)
+            ):
+                return False
+        return True
+
+    def _lease_must_expire(self, attempt: Attempt, now: float) -> bool:
         """Whether only the end of the worker's lease can void a late start of a finalized job in time.
 
         A stop is executed before such a start, and has no effect. A higher fencing token voids the start, but
         can't be made durable without the state service.
         """
-        for attempt in machine.attempts.values():
-            if (
-                attempt.job.phase is JobPhase.FINALIZED
-                and now > attempt.job.renewals_allowed_until
-                and attempt.start_may_follow_response(self._ctx.fencing_token)
-            ):
-                log.info(
-                    "lease not renewed, finalized job may be started late: machine=%s task=%s attempt=%d",
-                    machine.name,
-                    attempt.name,
-                    attempt.number,
-                )
-                return True
-        return False
+        if now <= attempt.job.renewals_allowed_until or not attempt.start_may_follow_response(
+            self._ctx.fencing_token
+        ):
+            return False
+        log.info(
+            "lease not renewed, finalized job may be started late: machine=%s task=%s attempt=%d",
+            attempt.machine.name,
+            attempt.name,
+            attempt.number,
+        )
+        return True
 
     def _seems_to_miss_responses(self, machine: Machine, now: float) -> bool:
         """Whether responses seem not to reach an unreconciled worker, so that its lease is left to expire.
