Soak: drawn faults, load and users on real controllers

The scale run's parts take what differs as arguments: worker and link types, a port of the state service for each controller.

--- a/src/poppyhold/scale/__main__.py
+++ b/src/poppyhold/scale/__main__.py
@@ -18,7 +18,10 @@
 from poppyhold.scale.profile import Profile, ProfileError, built_in, load_profile
 from poppyhold.scale.result import Result, print_result
 from poppyhold.scale.run import StoppedError, play
+from poppyhold.scale.soak.command import main as soak_main
 
+# The subcommand that plays drawn faults; everything else names a profile.
+_SOAK = "soak"
 # Plot formats, by file extension.
 _PLOT_FORMATS = (".png", ".svg", ".pdf")
 
@@ -43,7 +46,9 @@
         prog="python -m poppyhold.scale",
         description="Real controllers on loopback, with simulated workers and stand-ins around them.",
     )
-    parser.add_argument("profile", help=f"a TOML file, or one of: {', '.join(built_in())}")
+    parser.add_argument(
+        "profile", help=f"a TOML file, or one of: {', '.join(built_in())}; or `soak`, with options of its own"
+    )
     parser.add_argument("--seed", type=int, default=1, help="seed of the random load")
     parser.add_argument("--relays", choices=("auto", "off", "forced"), help="instead of the profile's own")
     parser.add_argument(
@@ -79,7 +84,10 @@
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the program; returns its exit status: 0, 1 if the run failed, 2 for a bad profile."""
-    args = _parser().parse_args(argv)
+    arguments = list(sys.argv[1:] if argv is None else argv)
+    if arguments[:1] == [_SOAK]:
+        return soak_main(arguments[1:])
+    args = _parser().parse_args(arguments)
     try:
         profile = load_profile(args.profile)
     except ProfileError as error:
--- a/src/poppyhold/scale/controllers.py
+++ b/src/poppyhold/scale/controllers.py
@@ -151,15 +151,28 @@
         return True
 
 
+def members(profile: Profile) -> list[str]:
+    """Names of a run's controllers."""
+    return [f"hive-{index}" for index in range(profile.controllers)]
+
+
 class Controllers:
     """All controllers of a run."""
 
-    def __init__(self, profile: Profile, folder: Path, state_port: int, cloud_port: int) -> None:
+    def __init__(
+        self,
+        profile: Profile,
+        folder: Path,
+        state_ports: dict[str, int],
+        cloud_port: int,
+        link_type: type[Link] = Link,
+    ) -> None:
+        """``state_ports`` is the port of the state service for each member."""
         self._profile, self._folder = profile, folder
         zones = profile.zones
         self.all = [
-            ControllerProcess(f"hive-{index}", zones[index % len(zones)])
-            for index in range(profile.controllers)
+            ControllerProcess(member, zones[index % len(zones)])
+            for index, member in enumerate(members(profile))
         ]
         self._options = folder / "options.txtpb"
         relays = f"relays {{ mode: {profile.relays.upper()} }}\n"
@@ -167,10 +180,10 @@
         for controller in self.all:
             for other in self.all:
                 if other is not controller:
-                    controller.links[other.member] = Link(controller.peer_port)
+                    controller.links[other.member] = link_type(controller.peer_port)
         for controller in self.all:
             controller.settings = folder / f"{controller.member}.toml"
-            text = self._settings(controller, state_port, cloud_port)
+            text = self._settings(controller, state_ports[controller.member], cloud_port)
             controller.settings.write_text(text, encoding="utf-8")
 
     def add_options(self, text: str) -> None:
--- a/src/poppyhold/scale/external_services.py
+++ b/src/poppyhold/scale/external_services.py
@@ -47,7 +47,7 @@
         self._requests = RateLimit(limits.rps, 1.0)
         self._writes = RateLimit(limits.write_rps, 1.0)
         self._latency_s, self._rng = limits.latency_ms / 1000, rng
-        self.server = HttpServer(self._handle)
+        self.server = HttpServer(self.handle)
         self.requests: Counter[str] = Counter()
         self.writes = 0
         # Writes of quota records, and the transactions that contain any.
@@ -60,7 +60,8 @@
         self.refused.clear()
         self.writes = self.server.bytes = self.quota_writes = self.quota_commits = 0
 
-    async def _handle(self, method: str, path: str, body: bytes) -> Status:
+    async def handle(self, method: str, path: str, body: bytes) -> Status:
+        """Answer a request."""
         kind = f"{method} {path.partition('?')[0].split('/')[1]}"
         self.requests[kind] += 1
         if not self._requests.take():
--- a/src/poppyhold/scale/fleet.py
+++ b/src/poppyhold/scale/fleet.py
@@ -44,7 +44,9 @@
         on_start: Callable[[WorkerStandIn, str], None],
         on_done: Callable[[str], None],
         rng: random.Random,
+        worker_type: type[SimulatedWorker] = SimulatedWorker,
     ) -> None:
+        self._worker_type = worker_type
         self._profile, self._nodes, self._rng = profile, nodes, rng
         self._describe, self._on_start, self._on_done = describe, on_start, on_done
         self.figures = WorkerFigures()
@@ -110,7 +112,7 @@
             self._on_start,
             self._on_done,
         )
-        worker = SimulatedWorker(
+        worker = self._worker_type(
             standin, self._nodes, self._profile.heartbeat_interval_s, self.figures, self._rng
         )
         await worker.listen()
--- a/src/poppyhold/scale/run.py
+++ b/src/poppyhold/scale/run.py
@@ -17,7 +17,7 @@
 from poppyhold.durable.keys import LEADER_KEY
 from poppyhold.scale.checks import RuleChecks
 from poppyhold.scale.controller_logs import violated_invariants
-from poppyhold.scale.controllers import ControllerProcess, Controllers, team_limits
+from poppyhold.scale.controllers import ControllerProcess, Controllers, members, team_limits
 from poppyhold.scale.external_services import StateService
 from poppyhold.scale.fleet import Fleet
 from poppyhold.scale.measure import Latency, ProcessMeter
@@ -93,21 +93,35 @@
 
     async def build(self) -> None:
         """Start the simulated state service and cloud; create the controllers, fleet and users unstarted."""
-        state_port = await self.state.server.start()
+        state_ports = await self._open_state_ports()
         # The controllers' settings need the cloud's port. The fleet needs the controllers' ports,
         # which are put into `nodes` once the controllers exist.
-        self.fleet = Fleet(
+        self.fleet = self._make_fleet(nodes := {})
+        cloud_port = await self.fleet.cloud.server.start()
+        self.controllers = self._make_controllers(state_ports, cloud_port)
+        nodes.update(self.controllers.ports)
+        self.users = self._make_users(nodes)
+
+    async def _open_state_ports(self) -> dict[str, int]:
+        """Open the state service, and return its port for each controller."""
+        port = await self.state.server.start()
+        return dict.fromkeys(members(self.profile), port)
+
+    def _make_fleet(self, nodes: dict[str, int]) -> Fleet:
+        return Fleet(
             self.profile,
-            nodes := {},
+            nodes,
             lambda task: self.checks.jobs.get(task.rpartition("/")[0]),
             self._task_started,
             self.checks.completed,
             self._rng,
         )
-        cloud_port = await self.fleet.cloud.server.start()
-        self.controllers = Controllers(self.profile, self._folder, state_port, cloud_port)
-        nodes.update(self.controllers.ports)
-        self.users = Users(self.profile, nodes, self.checks, self._rng)
+
+    def _make_controllers(self, state_ports: dict[str, int], cloud_port: int) -> Controllers:
+        return Controllers(self.profile, self._folder, state_ports, cloud_port)
+
+    def _make_users(self, nodes: dict[str, int]) -> Users:
+        return Users(self.profile, nodes, self.checks, self._rng)
 
     async def begin(self) -> None:
         """Start the controllers, then the workers, the users and the run's own measurements."""
--- a/src/poppyhold/scale/simulated_worker.py
+++ b/src/poppyhold/scale/simulated_worker.py
@@ -20,7 +20,7 @@
 
 # Fixed by the protocol: request timeout, delay before the next node, minimum time between two heartbeats, and
 # maximum delay before following a redirect.
-_HEARTBEAT_TIMEOUT_S, _NEXT_NODE_DELAY_S, _MIN_HEARTBEAT_GAP_S, _MAX_REDIRECT_DELAY_S = 4.0, 1.0, 0.5, 0.5
+HEARTBEAT_TIMEOUT_S, _NEXT_NODE_DELAY_S, _MIN_HEARTBEAT_GAP_S, _MAX_REDIRECT_DELAY_S = 4.0, 1.0, 0.5, 0.5
 
 
 class WorkerFigures:
@@ -134,10 +134,7 @@
         self._earliest_heartbeat = now + _MIN_HEARTBEAT_GAP_S
         body, incarnation = self.standin.heartbeat(), self.standin.incarnation
         before = self._connection.bytes
-        try:
-            status, answer = await self._connection.request("POST", "/hello", body, _HEARTBEAT_TIMEOUT_S)
-        except NoResponseError:
-            status, answer = 0, {}
+        status, answer = await self._send_heartbeat(body)
         self._figures.bytes += self._connection.bytes - before
         if status == HTTPStatus.OK:
             self._figures.heartbeats.record(time.monotonic() - now)
@@ -151,6 +148,13 @@
             next_node = self._names[(self._names.index(self._node) + 1) % len(self._names)]
             self._switch_node(next_node, _NEXT_NODE_DELAY_S)
 
+    async def _send_heartbeat(self, body: Data) -> Status:
+        """Send a heartbeat, and return the response; status 0 without one in time."""
+        try:
+            return await self._connection.request("POST", "/hello", body, HEARTBEAT_TIMEOUT_S)
+        except NoResponseError:
+            return 0, {}
+
     def _is_other_node(self, node: object) -> bool:
         return node in self._nodes and node != self._node
 
