--- a/src/poppyhold/scale/soak/faulty_worker.py
+++ b/src/poppyhold/scale/soak/faulty_worker.py
@@ -13,7 +13,7 @@
 from poppyhold.scale.worker_standin import WorkerStandIn
 
 # How late copies of heartbeats, and late commands, arrive, in seconds.
-_COPY_DELAY_S, _COMMAND_DELAY_S = (2.0, 20.0), (2.0, 16.0)
+_COPY_DELAY_S, _COMMAND_DELAY_S = (2.0, 20.0), (2.0, 24.0)
 _MAX_KEPT_COPIES = 20
 
 
