Soak: runs side by side choose ports of their own

A run seeded the process's random generator, from which free ports are drawn as well: two runs of the same seed at the same time chose the same ports, and a controller of one ended at once (address in use).

--- a/src/poppyhold/scale/soak/run.py
+++ b/src/poppyhold/scale/soak/run.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import time
 from enum import StrEnum
 from pathlib import Path
@@ -204,8 +203,6 @@
         """Connections break at the end of the run, and while controllers are killed."""
 
     asyncio.get_running_loop().set_exception_handler(ignore)
-    # Draws of the stand-ins' own, as the schedule's are all drawn.
-    random.seed(schedule.seed)
     run = SoakRun(schedule, folder)
     await run.play()
     try:
