Soak: jobs after the warm-up, logs of one run, a schedule that late starts fail

Jobs' times counted from before the warm-up, so that they came seconds before the faults that they were drawn for. A log folder that was used before added its old lines to the verdict.

tests/fixtures/soak_late_starts_in_state_outage.json holds back every start and begins an outage just after the cancellations.

--- a/src/poppyhold/scale/soak/command.py
+++ b/src/poppyhold/scale/soak/command.py
@@ -99,6 +99,9 @@
 
 def _play(schedule: SoakSchedule, folder: Path) -> SoakResult:
     folder.mkdir(parents=True, exist_ok=True)
+    for log in folder.glob("*.log"):
+        # Controllers append to their logs, which the verdict reads.
+        log.unlink()
     save_schedule(schedule, folder / _SCHEDULE_FILE)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         return runner.run(_interruptible(schedule, folder))
--- a/src/poppyhold/scale/soak/users.py
+++ b/src/poppyhold/scale/soak/users.py
@@ -37,8 +37,8 @@
         self._cancel_now: dict[str, asyncio.Event] = {}
 
     async def run(self) -> None:
-        """Submit each job at its time."""
-        began_at = time.monotonic()
+        """Submit each job at its time after the warm-up."""
+        began_at = time.monotonic() + self._profile.warm_up_s
         for number, job in enumerate(self._schedule.jobs, start=1):
             await asyncio.sleep(max(0.0, began_at + job.at_s - time.monotonic()))
             task = asyncio.create_task(self._follow_job(f"job-{number:06d}", job))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -42,6 +42,7 @@
 from poppyhold.scale.worker_standin import WorkerStandIn
 from poppyhold.wire.codec import encode
 
+FIXTURES = Path(__file__).parent / "fixtures"
 CANCEL_S, LEASE_S = 16.0, 8.0
 JOB = "job-000001"
 SHORT = SoakSchedule(
@@ -345,14 +346,23 @@
 
 
 def test_a_short_soak_breaks_no_rule(tmp_path: Path) -> None:
-    schedule, written = tmp_path / "schedule.json", tmp_path / "result.json"
+    schedule = tmp_path / "schedule.json"
     save_schedule(SHORT, schedule)
+    assert_no_rule_broken(schedule, tmp_path)
+    assert (tmp_path / "seed-1" / "hive-0.log").exists()
+
+
+def test_no_cancelled_task_is_started_late_in_a_state_outage(tmp_path: Path) -> None:
+    assert_no_rule_broken(FIXTURES / "soak_late_starts_in_state_outage.json", tmp_path)
+
+
+def assert_no_rule_broken(schedule: Path, tmp_path: Path) -> None:
+    """Play a schedule; a machine that is too slow to judge the deadlines makes the run invalid."""
+    written = tmp_path / "result.json"
     status = main(["soak", "--play", str(schedule), "--json", str(written), "--logs", str(tmp_path)])
     result = msgspec.json.decode(written.read_bytes())[0]
-    # A machine that is too slow to judge the deadlines makes the run invalid, whatever it found.
     assert result["verdict"] == Verdict.INVALID or (status, result["broken"]) == (0, [])
     assert result["jobs"] > 0
-    assert (tmp_path / "seed-1" / "hive-0.log").exists()
 
 
 def test_an_interrupt_ends_the_run_and_all_its_processes(tmp_path: Path) -> None:
