Scale: one network of cuttable links, one event loop, one way to make the fleet

The soak had written again what the scale run has: cuts that are counted by direction (PeerNetwork beside CellNetwork), the loop that a signal ends, a fleet that differed in the type of its workers, the final statuses. Both now use CuttableNetwork, run_interruptible and the types that a run names; tracebacks are looked for beside violated invariants. Behaviour unchanged.

--- a/src/poppyhold/scale/__main__.py
+++ b/src/poppyhold/scale/__main__.py
@@ -3,18 +3,16 @@
 from __future__ import annotations
 
 import argparse
-import asyncio
-import signal
 import sys
 import tempfile
 from collections.abc import Sequence
 from pathlib import Path
 
 import msgspec
-import uvloop
 from rich.console import Console
 
 from poppyhold.scale.cells import CellsResult, play_cells, print_cells_result
+from poppyhold.scale.event_loop import run_interruptible
 from poppyhold.scale.profile import Profile, ProfileError, built_in, load_profile
 from poppyhold.scale.result import Result, print_result
 from poppyhold.scale.run import StoppedError, play
@@ -62,17 +60,10 @@
     return parser
 
 
-async def _interruptible(profile: Profile, seed: int, folder: Path) -> Result | CellsResult:
-    """Run the profile; SIGINT and SIGTERM stop the run, and its result records that."""
-    run: asyncio.Future[Result | CellsResult]
+async def _play(profile: Profile, seed: int, folder: Path) -> Result | CellsResult:
     if _has_cell_load(profile):
-        run = asyncio.ensure_future(play_cells(profile, seed, folder))
-    else:
-        run = asyncio.ensure_future(play(profile, seed, folder))
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, run.cancel)
-    return await run
+        return await play_cells(profile, seed, folder)
+    return await play(profile, seed, folder)
 
 
 def _write_plot(result: CellsResult, path: Path) -> None:
@@ -104,9 +95,7 @@
         folder = args.logs or Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
         try:
-            # All load runs on one event loop; uvloop carries thousands of workers more than asyncio's loop.
-            with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-                result = runner.run(_interruptible(profile, args.seed, folder))
+            result = run_interruptible(_play(profile, args.seed, folder))
         except StoppedError as error:
             print(f"poppyhold.scale: {error}", file=sys.stderr)
             return 1
--- a/src/poppyhold/scale/cells.py
+++ b/src/poppyhold/scale/cells.py
@@ -17,6 +17,7 @@
 from poppyhold.scale.cell_history import Sample
 from poppyhold.scale.cell_links import CellNetwork, Direction
 from poppyhold.scale.controllers import ControllerProcess, team_limits
+from poppyhold.scale.event_loop import drop_loop_errors
 from poppyhold.scale.measure import Latency
 from poppyhold.scale.profile import Fault, Profile
 from poppyhold.scale.result import FaultResult, Result, print_result
@@ -257,8 +258,7 @@
 
 async def play_cells(profile: Profile, seed: int, folder: Path) -> CellsResult:
     """Run a profile of several cells with its files in ``folder``."""
-    # Connections that break at the end of the run are expected and not reported.
-    asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+    drop_loop_errors()
     return await CellsRun(profile, seed, folder).play()
 
 
--- a/src/poppyhold/scale/checks.py
+++ b/src/poppyhold/scale/checks.py
@@ -10,7 +10,7 @@
 from poppyhold.scale.worker_standin import WorkerStandIn
 
 Data = dict[str, Any]
-_FINAL_STATUSES = ("done", "cancelled")
+FINAL_STATUSES = ("done", "cancelled")
 _TOLERANCE = 1e-6
 
 
@@ -95,7 +95,7 @@
         if status != 200:  # noqa: PLR2004 (HTTP's own number)
             return
         reported, before = body["status"], self._reported_status.get(job_id)
-        if before in _FINAL_STATUSES and reported != before:
+        if before in FINAL_STATUSES and reported != before:
             self.violations.add(f"went_back: {job_id} from {before} to {reported}")
         if reported == "done" and self._finished[job_id] < self.jobs[job_id]["chores"]:
             self.violations.add(
@@ -111,4 +111,4 @@
 
     def is_final(self, job_id: str) -> bool:
         """Whether a final status of the job was reported to its user."""
-        return self._reported_status.get(job_id) in _FINAL_STATUSES
+        return self._reported_status.get(job_id) in FINAL_STATUSES
--- a/src/poppyhold/scale/run.py
+++ b/src/poppyhold/scale/run.py
@@ -17,12 +17,14 @@
 from poppyhold.durable.keys import LEADER_KEY
 from poppyhold.scale.checks import RuleChecks
 from poppyhold.scale.controller_logs import violated_invariants
-from poppyhold.scale.controllers import ControllerProcess, Controllers, members, team_limits
+from poppyhold.scale.controllers import ControllerProcess, Controllers, Link, members, team_limits
+from poppyhold.scale.event_loop import drop_loop_errors
 from poppyhold.scale.external_services import StateService
 from poppyhold.scale.fleet import Fleet
 from poppyhold.scale.measure import Latency, ProcessMeter
 from poppyhold.scale.profile import Fault, Profile
 from poppyhold.scale.result import ControllerResult, FaultResult, Result
+from poppyhold.scale.simulated_worker import SimulatedWorker
 from poppyhold.scale.users import Users
 from poppyhold.scale.worker_standin import WorkerStandIn
 
@@ -40,6 +42,9 @@
 class ScaleRun:
     """The controllers, stand-ins, workers and users of one run, and its checks and measurements."""
 
+    worker_type: type[SimulatedWorker] = SimulatedWorker
+    link_type: type[Link] = Link
+
     def __init__(self, profile: Profile, seed: int, folder: Path) -> None:
         self.profile, self.seed = profile, seed
         self._folder = folder
@@ -96,9 +101,17 @@
         state_ports = await self._open_state_ports()
         # The controllers' settings need the cloud's port. The fleet needs the controllers' ports,
         # which are put into `nodes` once the controllers exist.
-        self.fleet = self._make_fleet(nodes := {})
+        self.fleet = Fleet(
+            self.profile,
+            nodes := {},
+            lambda task: self.checks.jobs.get(task.rpartition("/")[0]),
+            self._task_started,
+            self.checks.completed,
+            self._rng,
+            self.worker_type,
+        )
         cloud_port = await self.fleet.cloud.server.start()
-        self.controllers = self._make_controllers(state_ports, cloud_port)
+        self.controllers = Controllers(self.profile, self._folder, state_ports, cloud_port, self.link_type)
         nodes.update(self.controllers.ports)
         self.users = self._make_users(nodes)
 
@@ -107,19 +120,6 @@
         port = await self.state.server.start()
         return dict.fromkeys(members(self.profile), port)
 
-    def _make_fleet(self, nodes: dict[str, int]) -> Fleet:
-        return Fleet(
-            self.profile,
-            nodes,
-            lambda task: self.checks.jobs.get(task.rpartition("/")[0]),
-            self._task_started,
-            self.checks.completed,
-            self._rng,
-        )
-
-    def _make_controllers(self, state_ports: dict[str, int], cloud_port: int) -> Controllers:
-        return Controllers(self.profile, self._folder, state_ports, cloud_port)
-
     def _make_users(self, nodes: dict[str, int]) -> Users:
         return Users(self.profile, nodes, self.checks, self._rng)
 
@@ -371,6 +371,5 @@
 
 async def play(profile: Profile, seed: int, folder: Path) -> Result:
     """Run a profile; the controllers' files are written to ``folder``."""
-    # Errors reported to the event loop are dropped, because connections break at the end of the run.
-    asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+    drop_loop_errors()
     return await ScaleRun(profile, seed, folder).play()
--- a/src/poppyhold/scale/soak/command.py
+++ b/src/poppyhold/scale/soak/command.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import argparse
-import asyncio
-import signal
 import sys
 import tempfile
 from collections import Counter
@@ -13,8 +11,8 @@
 from typing import NoReturn
 
 import msgspec
-import uvloop
 
+from poppyhold.scale.event_loop import run_interruptible
 from poppyhold.scale.run import StoppedError
 from poppyhold.scale.soak.run import SoakResult, Verdict, play_soak
 from poppyhold.scale.soak.schedule import (
@@ -88,23 +86,13 @@
         yield draw_schedule(seed, args.workers, args.controllers)
 
 
-async def _interruptible(schedule: SoakSchedule, folder: Path) -> SoakResult:
-    """Play a schedule; SIGINT and SIGTERM stop the run, and its result records that."""
-    run = asyncio.ensure_future(play_soak(schedule, folder))
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, run.cancel)
-    return await run
-
-
 def _play(schedule: SoakSchedule, folder: Path) -> SoakResult:
     folder.mkdir(parents=True, exist_ok=True)
     for log in folder.glob("*.log"):
         # Controllers append to their logs, which the verdict reads.
         log.unlink()
     save_schedule(schedule, folder / _SCHEDULE_FILE)
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        return runner.run(_interruptible(schedule, folder))
+    return run_interruptible(play_soak(schedule, folder))
 
 
 def _print(result: SoakResult) -> None:
--- a/src/poppyhold/scale/soak/faults.py
+++ b/src/poppyhold/scale/soak/faults.py
@@ -8,9 +8,9 @@
 from collections.abc import Awaitable, Callable, Iterable
 
 from poppyhold.scale.controllers import ControllerProcess, Controllers
+from poppyhold.scale.cuttable_links import CuttableNetwork
 from poppyhold.scale.fleet import Fleet
 from poppyhold.scale.soak.faulty_worker import FaultyWorker
-from poppyhold.scale.soak.peer_network import PeerNetwork
 from poppyhold.scale.soak.schedule import FaultKind, SoakFault
 from poppyhold.scale.soak.state_gate import StateGate
 from poppyhold.scale.soak.users import SoakUsers
@@ -26,7 +26,7 @@
     def __init__(
         self,
         controllers: Controllers,
-        network: PeerNetwork,
+        network: CuttableNetwork[str],
         gate: StateGate,
         fleet: Fleet,
         users: SoakUsers,
@@ -129,11 +129,9 @@
         if both_ways:
             ways += [(other, cut) for other in others]
 
-        def change_all(change: int) -> None:
-            for source, target in ways:
-                self._network.change(source, target, change)
-
-        await self._switch(fault, change_all)
+        self._network.cut(ways)
+        await asyncio.sleep(fault.for_s)
+        self._network.heal(ways)
 
     # -- workers and users -----------------------------------------------------------------------------
 
--- a/src/poppyhold/scale/soak/faulty_worker.py
+++ b/src/poppyhold/scale/soak/faulty_worker.py
@@ -5,7 +5,9 @@
 import asyncio
 import random
 import time
+from collections.abc import Coroutine
 from http import HTTPStatus
+from typing import Any
 
 from poppyhold.scale.async_http import Connection, NoResponseError
 from poppyhold.scale.responses import Data, Status
@@ -117,7 +119,7 @@
         finally:
             connection.close()
 
-    def _spawn(self, coroutine: object) -> None:
-        task = asyncio.ensure_future(coroutine)  # type: ignore[call-overload]
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
         self._late.add(task)
         task.add_done_callback(self._late.discard)
--- a/src/poppyhold/scale/soak/peer_network.py
+++ b/src/poppyhold/scale/soak/peer_network.py
@@ -2,32 +2,15 @@
 
 from __future__ import annotations
 
-from collections import Counter
-
-from poppyhold.scale.cell_links import CuttableLink
 from poppyhold.scale.controllers import Controllers
+from poppyhold.scale.cuttable_links import CuttableLink, CuttableNetwork
 
 
-class PeerNetwork:
-    """Cuts messages from one controller to another. Overlapping cuts end when the last of them ends."""
-
-    def __init__(self, controllers: Controllers) -> None:
-        self._controllers = controllers
-        self._cuts: Counter[tuple[str, str]] = Counter()
-
-    def change(self, source: str, target: str, change: int) -> None:
-        """Begin (1) or end (-1) a cut of all messages from one controller to another."""
-        self._cuts[source, target] += change
-        passes = not self._cuts[source, target]
-        # Requests of the source, and its responses to requests of the target.
-        for event in (self._link(source, target).requests_pass, self._link(target, source).responses_pass):
-            if passes:
-                event.set()
-            else:
-                event.clear()
-
-    def _link(self, source: str, target: str) -> CuttableLink:
-        """The link by which the source reaches the target."""
-        link = self._controllers.get(target).links[source]
-        assert isinstance(link, CuttableLink)
-        return link
+def peer_network(controllers: Controllers) -> CuttableNetwork[str]:
+    """Return the network of the controllers' links, whose type is `CuttableLink`."""
+    network: CuttableNetwork[str] = CuttableNetwork()
+    for target in controllers.all:
+        for source, link in target.links.items():
+            assert isinstance(link, CuttableLink)
+            network.add((source, target.member), [link])
+    return network
--- a/src/poppyhold/scale/soak/run.py
+++ b/src/poppyhold/scale/soak/run.py
@@ -6,19 +6,19 @@
 import time
 from enum import StrEnum
 from pathlib import Path
-from typing import Any
 
 import msgspec
 
-from poppyhold.scale.cell_links import CuttableLink
-from poppyhold.scale.controllers import Controllers, members, team_limits
-from poppyhold.scale.fleet import Fleet
+from poppyhold.scale.controller_logs import tracebacks
+from poppyhold.scale.controllers import members, team_limits
+from poppyhold.scale.cuttable_links import CuttableLink
+from poppyhold.scale.event_loop import drop_loop_errors
 from poppyhold.scale.profile import JobClass, MachineShape, Profile
 from poppyhold.scale.run import ScaleRun, StoppedError
 from poppyhold.scale.soak.checks import SoakChecks
 from poppyhold.scale.soak.faults import FaultPlayer
 from poppyhold.scale.soak.faulty_worker import FaultyWorker
-from poppyhold.scale.soak.peer_network import PeerNetwork
+from poppyhold.scale.soak.peer_network import peer_network
 from poppyhold.scale.soak.schedule import SoakSchedule
 from poppyhold.scale.soak.state_gate import StateGate
 from poppyhold.scale.soak.users import JOB_CLASS, SoakUsers
@@ -32,7 +32,6 @@
 _LEADER_POLL_S = 0.1
 # A load whose event loop was late by more than this share of an interval can't judge the deadlines.
 _MAX_LOOP_DELAY_INTERVALS = 0.5
-_TRACEBACK = "Traceback (most recent call last)"
 
 
 class Verdict(StrEnum):
@@ -81,6 +80,9 @@
 class SoakRun(ScaleRun):
     """A scale run whose faults, load and users come from a schedule."""
 
+    worker_type = FaultyWorker
+    link_type = CuttableLink
+
     def __init__(self, schedule: SoakSchedule, folder: Path) -> None:
         profile = soak_profile(schedule)
         super().__init__(profile, schedule.seed, folder)
@@ -96,20 +98,6 @@
     async def _open_state_ports(self) -> dict[str, int]:
         return {member: await self._gate.open(member) for member in members(self.profile)}
 
-    def _make_fleet(self, nodes: dict[str, int]) -> Fleet:
-        return Fleet(
-            self.profile,
-            nodes,
-            lambda task: self.checks.jobs.get(task.rpartition("/")[0]),
-            self._task_started,
-            self.checks.completed,
-            self._rng,
-            FaultyWorker,
-        )
-
-    def _make_controllers(self, state_ports: dict[str, int], cloud_port: int) -> Controllers:
-        return Controllers(self.profile, self._folder, state_ports, cloud_port, CuttableLink)
-
     def _make_users(self, nodes: dict[str, int]) -> Users:
         self.soak_users = SoakUsers(self.profile, nodes, self.soak_checks, self._rng, self._schedule)
         return self.soak_users
@@ -124,9 +112,14 @@
     async def _measure(self) -> None:
         """Play the faults, then wait until every job gets on."""
         self.clear()
-        network = PeerNetwork(self.controllers)
         player = FaultPlayer(
-            self.controllers, network, self._gate, self.fleet, self.soak_users, self._leader, self._rng
+            self.controllers,
+            peer_network(self.controllers),
+            self._gate,
+            self.fleet,
+            self.soak_users,
+            self._leader,
+            self._rng,
         )
         self._spawn(self._deliver_copies_to_next_leaders(player))
         began_at = time.monotonic()
@@ -159,7 +152,7 @@
     def verdict(self) -> SoakResult:
         """Judge the run, after it has ended."""
         result = self.result()
-        broken = [*result.broken, *_tracebacks(self._folder)]
+        broken = [*result.broken, *tracebacks(self._folder)]
         broken += [
             f"ended_by_itself: {each.member} {each.ended_by_itself} times"
             for each in result.controllers
@@ -186,23 +179,9 @@
         )
 
 
-def _tracebacks(folder: Path) -> list[str]:
-    """One line for each controller's log with tracebacks."""
-    found = []
-    for path in sorted(folder.glob("*.log")):
-        count = path.read_text(encoding="utf-8", errors="replace").count(_TRACEBACK)
-        if count:
-            found.append(f"traceback: {path.stem} logged {count}")
-    return found
-
-
 async def play_soak(schedule: SoakSchedule, folder: Path) -> SoakResult:
     """Play a schedule; the controllers' files are written to ``folder``."""
-
-    def ignore(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
-        """Connections break at the end of the run, and while controllers are killed."""
-
-    asyncio.get_running_loop().set_exception_handler(ignore)
+    drop_loop_errors()
     run = SoakRun(schedule, folder)
     await run.play()
     try:
--- a/src/poppyhold/scale/soak/users.py
+++ b/src/poppyhold/scale/soak/users.py
@@ -7,6 +7,7 @@
 import time
 
 from poppyhold.scale.async_http import Connection, NoResponseError
+from poppyhold.scale.checks import FINAL_STATUSES
 from poppyhold.scale.jobs import submission, wire
 from poppyhold.scale.profile import Profile
 from poppyhold.scale.responses import Data, Status
@@ -17,7 +18,6 @@
 # Class of all jobs, the longest pause between two questions of a user, and a user's timeout, in seconds.
 JOB_CLASS = "soak"
 _POLL_S, _TIMEOUT_S = 2.0, 2.0
-_FINAL = ("done", "cancelled")
 
 
 class SoakUsers(Users):
@@ -95,7 +95,7 @@
             *(self._request_at(node, "GET", f"/api/jobs/{job_id}", None) for node in self._nodes)
         )
         # The answers are concurrent, so those that are not final may have been given first.
-        for status, answer in sorted(answers, key=lambda each: each[1].get("status") in _FINAL):
+        for status, answer in sorted(answers, key=lambda each: each[1].get("status") in FINAL_STATUSES):
             self._checks.answered(job_id, status, answer)
 
     async def _query(self, job_id: str, method: str, path: str, body: Data | None) -> None:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -18,10 +18,11 @@
 
 from poppyhold.scale.__main__ import main
 from poppyhold.scale.cell_history import CellHistory, CellSample, LimitUse
-from poppyhold.scale.cell_links import CellNetwork, CuttableLink
+from poppyhold.scale.cell_links import CellNetwork
 from poppyhold.scale.cells import CellsResult
 from poppyhold.scale.checks import RuleChecks
 from poppyhold.scale.controllers import ControllerProcess, free_port
+from poppyhold.scale.cuttable_links import CuttableLink
 from poppyhold.scale.external_services import RateLimit
 from poppyhold.scale.jobs import machine_type_data, submission
 from poppyhold.scale.profile import PROFILES, ProfileError, built_in, load_profile
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,15 +19,15 @@
 import pytest
 
 from poppyhold.scale.__main__ import main
-from poppyhold.scale.cell_links import CuttableLink
 from poppyhold.scale.controllers import Controllers, members
+from poppyhold.scale.cuttable_links import CuttableLink
 from poppyhold.scale.external_services import StateService
 from poppyhold.scale.jobs import machine_type_data, submission
 from poppyhold.scale.profile import StateLimits
 from poppyhold.scale.simulated_worker import WorkerFigures
 from poppyhold.scale.soak.checks import SoakChecks
 from poppyhold.scale.soak.faulty_worker import FaultyWorker
-from poppyhold.scale.soak.peer_network import PeerNetwork
+from poppyhold.scale.soak.peer_network import peer_network
 from poppyhold.scale.soak.run import Verdict, soak_profile
 from poppyhold.scale.soak.schedule import (
     FaultKind,
@@ -329,12 +329,12 @@
     async def play() -> list[bool]:
         profile = soak_profile(SHORT)
         controllers = Controllers(profile, tmp_path, dict.fromkeys(members(profile), 9), 9, CuttableLink)
-        network = PeerNetwork(controllers)
+        network, ways = peer_network(controllers), [("hive-0", "hive-1")]
         link = controllers.get("hive-1").links["hive-0"]
         assert isinstance(link, CuttableLink)
         seen = []
-        for change in (1, 1, -1, -1):
-            network.change("hive-0", "hive-1", change)
+        for change in (network.cut, network.cut, network.heal, network.heal):
+            change(ways)
             seen.append(link.requests_pass.is_set())
         assert link.responses_pass.is_set()
         return seen
