Commands: one rule for what may be sent, one for the sizes of the pools

SenderPool kept a second queue of the requests with starts, which also held sent ones until their grants ended, and found them again by object identity. The queue itself tells which have expired; it is looked through under the same lock at each tick. The simulated leader repeated that rule and the division of threads, with private constants; both now call may_send and pool_sizes. The two invariants of attempts share their evidence. Behaviour unchanged.

--- a/src/poppyhold/execution/invariant_checks.py
+++ b/src/poppyhold/execution/invariant_checks.py
@@ -8,11 +8,7 @@
 
 def record_start_of_finalized_job(attempt: Attempt, fencing_token: int) -> None:
     """Record a start that was about to be sent although its job is finalized."""
-    violations.record(
-        Invariant.NO_START_OF_FINALIZED_JOB,
-        attempt.name,
-        f"machine={attempt.machine.name} attempt={attempt.number} fencing_token={fencing_token}",
-    )
+    _record(Invariant.NO_START_OF_FINALIZED_JOB, attempt, fencing_token)
 
 
 def has_stop(attempt: Attempt, fencing_token: int) -> bool:
@@ -22,9 +18,10 @@
     """
     if attempt.stop_requested_at is not None:
         return True
-    violations.record(
-        Invariant.RENEWAL_STOPS_FINALIZED_JOB,
-        attempt.name,
-        f"machine={attempt.machine.name} attempt={attempt.number} fencing_token={fencing_token}",
-    )
+    _record(Invariant.RENEWAL_STOPS_FINALIZED_JOB, attempt, fencing_token)
     return False
+
+
+def _record(invariant: Invariant, attempt: Attempt, fencing_token: int) -> None:
+    evidence = f"machine={attempt.machine.name} attempt={attempt.number} fencing_token={fencing_token}"
+    violations.record(invariant, attempt.name, evidence)
--- a/src/poppyhold/model/start_grant.py
+++ b/src/poppyhold/model/start_grant.py
@@ -25,3 +25,8 @@
     def allows_sending(self, now: float) -> bool:
         """Whether the starts may still be sent."""
         return now < self.expires_at
+
+
+def may_send(start_grant: StartGrant | None, now: float) -> bool:
+    """Whether a request may leave the process now; None is the grant of a request without starts."""
+    return start_grant is None or start_grant.allows_sending(now)
--- a/src/poppyhold/node/command_dispatcher.py
+++ b/src/poppyhold/node/command_dispatcher.py
@@ -14,7 +14,7 @@
 from poppyhold.model.invariants import Invariant, violations
 from poppyhold.model.outbound import Data
 from poppyhold.model.outcome import RequestOutcome
-from poppyhold.model.start_grant import StartGrant
+from poppyhold.model.start_grant import StartGrant, may_send
 from poppyhold.settings import Settings
 from poppyhold.wire import field_names
 from poppyhold.wire.codec import MalformedError
@@ -40,9 +40,19 @@
     start_grant: StartGrant | None = None
 
 
-def _may_send(request: WorkerRequest, now: float) -> bool:
-    """Whether a request may leave the process now; its starts need a valid grant."""
-    return request.start_grant is None or request.start_grant.allows_sending(now)
+class PoolSizes(NamedTuple):
+    """Maximum threads of the two pools."""
+
+    fast: int
+    slow: int
+
+
+def pool_sizes(threads: int) -> PoolSizes:
+    """Divide a controller's thread limit between the pools."""
+    return PoolSizes(
+        max(_MIN_POOL_THREADS, threads // _FAST_POOL_DIVISOR),
+        max(_MIN_POOL_THREADS, threads // _SLOW_POOL_DIVISOR),
+    )
 
 
 def _has_start(request: WorkerRequest) -> bool:
@@ -72,8 +82,6 @@
     def __init__(self, max_threads: int, idle_s: float, send: Callable[[WorkerRequest], None]) -> None:
         self._max_threads, self._idle_s, self._send = max_threads, idle_s, send
         self._queue: deque[WorkerRequest] = deque()
-        # Requests with starts, in the order of submission, until their grants have expired.
-        self._granted: deque[WorkerRequest] = deque()
         self._wake = threading.Condition(threading.Lock())
         self._thread_count = self._idle_count = 0
         self._stopped = False
@@ -84,8 +92,6 @@
             if self._stopped:
                 return
             self._queue.append(request)
-            if request.start_grant is not None:
-                self._granted.append(request)
             if len(self._queue) <= self._idle_count or self._thread_count >= self._max_threads:
                 self._wake.notify()
                 return
@@ -95,21 +101,16 @@
     def remove_expired(self, now: float) -> list[WorkerRequest]:
         """Remove the queued requests whose grants have expired: none of them is sent."""
         with self._wake:
-            expired = set()
-            while self._granted and not _may_send(self._granted[0], now):
-                expired.add(id(self._granted.popleft()))
-            if not expired:
-                return []
-            removed = [request for request in self._queue if id(request) in expired]
-            self._queue = deque(request for request in self._queue if id(request) not in expired)
-            return removed
+            expired = [request for request in self._queue if not may_send(request.start_grant, now)]
+            if expired:
+                self._queue = deque(request for request in self._queue if may_send(request.start_grant, now))
+            return expired
 
     def stop(self) -> None:
         """Drop queued commands, and end each thread after its current command."""
         with self._wake:
             self._stopped = True
             self._queue.clear()
-            self._granted.clear()
             self._wake.notify_all()
 
     def _next_request(self) -> WorkerRequest | None:
@@ -135,14 +136,9 @@
     def __init__(self, settings: Settings, timeout_s: float) -> None:
         workers = settings.deployment.workers
         self._timeout_s = timeout_s
-        threads = settings.deployment.machine_limits.threads
-        idle_s = workers.lease_s
-        self._fast_pool = SenderPool(
-            max(_MIN_POOL_THREADS, threads // _FAST_POOL_DIVISOR), idle_s, self._send
-        )
-        self._slow_pool = SenderPool(
-            max(_MIN_POOL_THREADS, threads // _SLOW_POOL_DIVISOR), idle_s, self._send
-        )
+        sizes = pool_sizes(settings.deployment.machine_limits.threads)
+        self._fast_pool = SenderPool(sizes.fast, workers.lease_s, self._send)
+        self._slow_pool = SenderPool(sizes.slow, workers.lease_s, self._send)
 
     def send(self, request: WorkerRequest, slow_lane: bool) -> None:
         """Queue a request. Those of the slow lane do not delay the others."""
@@ -174,7 +170,7 @@
         if request.start_grant is None and _has_start(request):
             violations.record(Invariant.START_NEEDS_GRANT, request.endpoint, "grant=none")
             return RequestOutcome.NOT_SENT, None
-        if not _may_send(request, now):
+        if not may_send(request.start_grant, now):
             _log_expired(request, now)
             return RequestOutcome.NOT_SENT, None
         return self._post(request.endpoint, request.body)
--- a/tests/sim_senders.py
+++ b/tests/sim_senders.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from poppyhold.model.start_grant import StartGrant
-from poppyhold.node.command_dispatcher import _FAST_POOL_DIVISOR, _MIN_POOL_THREADS, _SLOW_POOL_DIVISOR
+from poppyhold.model.start_grant import StartGrant, may_send
+from poppyhold.node.command_dispatcher import pool_sizes
 
 # Sends one command; it calls its argument once the command's outcome is known.
 SendCommand = Callable[[Callable[[], None]], None]
@@ -21,10 +21,6 @@
     on_expired: Callable[[], None]
     start_grant: StartGrant | None
 
-    def may_send(self, now: float) -> bool:
-        """Whether the command may still be sent."""
-        return self.start_grant is None or self.start_grant.allows_sending(now)
-
 
 class SimSenderPool:
     """A pool of `node.command_dispatcher`, in virtual time."""
@@ -41,15 +37,15 @@
     def drop_expired(self) -> None:
         """Drop the commands whose grants have expired."""
         now = self._clock()
-        expired = [request for request in self._queue if not request.may_send(now)]
-        self._queue = deque(request for request in self._queue if request.may_send(now))
+        expired = [request for request in self._queue if not may_send(request.start_grant, now)]
+        self._queue = deque(request for request in self._queue if may_send(request.start_grant, now))
         for request in expired:
             request.on_expired()
 
     def _send_next(self) -> None:
         while self._idle and self._queue:
             request = self._queue.popleft()
-            if request.may_send(self._clock()):
+            if may_send(request.start_grant, self._clock()):
                 self._idle -= 1
                 request.send(self._on_outcome)
             else:
@@ -64,8 +60,8 @@
     """Both pools of a leader."""
 
     def __init__(self, threads: int, clock: Callable[[], float]) -> None:
-        self._fast = SimSenderPool(max(_MIN_POOL_THREADS, threads // _FAST_POOL_DIVISOR), clock)
-        self._slow = SimSenderPool(max(_MIN_POOL_THREADS, threads // _SLOW_POOL_DIVISOR), clock)
+        sizes = pool_sizes(threads)
+        self._fast, self._slow = SimSenderPool(sizes.fast, clock), SimSenderPool(sizes.slow, clock)
 
     def submit(self, request: SimRequest, slow_lane: bool) -> None:
         """Send a command through the pool of its lane."""
