Review, case 1: a repeated start runs a task twice

A POST /do that was carried out arrives a second time after its attempt was reaped: the worker starts the attempt anew while the task runs on another machine.

--- /dev/null
+++ b/review/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and processes for the cases of the review."""
