Log which fencing token each start and each forgotten exit carries

H1 a worker forgets an exit under the very token of the start, so that a copy of the start is executed: the copy is answered with 200 without any change of leader; H2 the next leader starts the task again, or acts without proof: it breaks without the copy; H3 only the gap between two leaders is open: without a change of leader the copy is rejected.

The logs named neither the token of a start nor that of a forgotten exit; both are debug lines now.

--- a/src/poppyhold/execution/direct_commands.py
+++ b/src/poppyhold/execution/direct_commands.py
@@ -132,6 +132,14 @@
         # responds but executes nothing.
         request = DirectCommandsRequest(ctx.fencing_token, machine.incarnation or 1, commands)
         silent = ctx.clock() - machine.last_heartbeat_at > ctx.durations.silent_s
+        if starts:
+            log.debug(
+                "starts sent: machine=%s incarnation=%d fencing_token=%d tasks=%s",
+                machine.name,
+                request.incarnation,
+                request.fencing_token,
+                starts,
+            )
 
         def on_response(outcome: RequestOutcome, heartbeat: Heartbeat | None) -> None:
             self._on_response(machine, sent, outcome, heartbeat)
--- a/src/poppyhold/execution/heartbeat_commands.py
+++ b/src/poppyhold/execution/heartbeat_commands.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import logging
+
 from poppyhold.model.context import Context
 from poppyhold.model.entities import Attempt, JobPhase, Machine, StartChannel
 from poppyhold.wire.task_names import split_task
 from poppyhold.wire.worker_messages import Command, CommandKind, Heartbeat, TaskState, TaskStatus
 
+log = logging.getLogger(__name__)
+
 
 def stop_command(attempt: Attempt, now: float) -> Command:
     """Return the command that stops an attempt, with a grace period of 0 once its own has passed."""
@@ -28,6 +32,14 @@
         for task in heartbeat.tasks:
             if task.status == TaskState.EXITED:
                 if self._may_forget_exit(task):
+                    log.debug(
+                        "exit forgotten: machine=%s incarnation=%d fencing_token=%d task=%s attempt=%d",
+                        machine.name,
+                        machine.incarnation,
+                        self._ctx.fencing_token,
+                        task.task,
+                        task.attempt,
+                    )
                     commands.append(Command(CommandKind.FORGET, task.task, task.attempt))
             elif task.task in machine.unknown_tasks:
                 commands.append(Command(CommandKind.STOP, task.task, task.attempt, 0.0))
