A worker forgets an exit only under a fencing token above that of its start

A direct start that was executed and answered arrives again after its attempt was stopped and forgotten there.

Cause: a worker ignores the start of an attempt that it lists, and executes any other one whose token is not below the highest it has seen.

Why this works: `execution.start_fencing` owns what a worker may still execute. A response that lets a worker forget exits carries a token above those of all starts that were sent to it, so forgetting and voiding are one message. A leader reserves 4,096 tokens with the write of its claim, and each machine has its own in that range: no more writes, no exits held in reports, no start that waits, no report of other workers. Delegates are told the range, or they would not renew leases of machines that have forgotten something. A start without an answer is void by the same token, also while the state service is out. The rule is asserted once more as the response leaves the decision core.

Attempt numbers contain the term's token, which now rises by 4,096: in the fortieth term a task takes 65 bytes of a report instead of 61, so 64 KiB hold 1,005 such tasks instead of 1,071.

--- a/src/poppyhold/cluster/delegated_renewals.py
+++ b/src/poppyhold/cluster/delegated_renewals.py
@@ -25,17 +25,23 @@
         self._durations, self._skew_s = durations, skew_s
         self._clock, self._wall_clock = clock, wall_clock
         self._delegation: LeaseDelegation | None = None
+        # The highest token of the delegating leader's term.
+        self._highest_fencing_token = 0
         self._last_ping_at = float("-inf")
         # Whether leases are being renewed: only the first renewal is logged.
         self._renewing = False
 
-    def observe_leader(self, fencing_token: int, delegation: LeaseDelegation | None) -> None:
+    def observe_leader(
+        self, fencing_token: int, delegation: LeaseDelegation | None, highest_fencing_token: int = 0
+    ) -> None:
         """Record a leader's ping. One without a delegation, as after a failover, revokes an earlier one.
 
-        Pings with a lower fencing token than that of the delegation are ignored.
+        Pings with a lower fencing token than that of the delegation are ignored. ``highest_fencing_token`` is
+        the highest of the leader's term; 0 if it uses ``fencing_token`` alone.
         """
         if self._delegation is None or fencing_token >= self._delegation.fencing_token:
             self._delegation, self._last_ping_at = delegation, self._clock()
+            self._highest_fencing_token = max(fencing_token, highest_fencing_token)
             self._renewing = False
 
     def renewal_fencing_token(
@@ -65,7 +71,8 @@
         if not self._renewing:
             self._renewing = True
             log.info("renewing leases on behalf of the leader: fencing_token=%d", delegation.fencing_token)
-        return delegation.fencing_token
+        # Workers accept a response with the very token that they have seen.
+        return heartbeat.fencing_token
 
     def _is_due(
         self,
@@ -89,20 +96,24 @@
             return False
         return True
 
-    @staticmethod
-    def _covers(delegation: LeaseDelegation, heartbeat: Heartbeat, known_fencing_token: int) -> bool:
-        """Whether the delegation covers this worker's lease, and no later leader is known."""
+    def _covers(self, delegation: LeaseDelegation, heartbeat: Heartbeat, known_fencing_token: int) -> bool:
+        """Whether the delegation covers this worker's lease, and no later leader is known.
+
+        A token of the leader's term shows that the worker has heard this leader and no later one.
+        """
         if (
-            heartbeat.fencing_token == delegation.fencing_token
+            delegation.fencing_token <= heartbeat.fencing_token <= self._highest_fencing_token
             and known_fencing_token <= delegation.fencing_token
             and heartbeat.machine not in delegation.excluded_machines
         ):
             return True
         log.debug(
-            "lease not renewed: machine=%s fencing_token=%d delegated_fencing_token=%d",
+            "lease not renewed: machine=%s fencing_token=%d delegated_fencing_token=%d"
+            " highest_fencing_token=%d",
             heartbeat.machine,
             heartbeat.fencing_token,
             delegation.fencing_token,
+            self._highest_fencing_token,
         )
         return False
 
--- a/src/poppyhold/cluster/election.py
+++ b/src/poppyhold/cluster/election.py
@@ -22,6 +22,7 @@
 from poppyhold.durable.store import Store
 from poppyhold.durable.watch import Watch
 from poppyhold.model.durations import Durations
+from poppyhold.model.fencing_tokens import highest_reserved_fencing_token
 from poppyhold.options import Options
 from poppyhold.settings import Settings
 
@@ -35,11 +36,14 @@
 class Term(NamedTuple):
     """A term of this controller as the leader."""
 
+    # The lowest of its fencing tokens, which the leader's key names.
     fencing_token: int
     # Revision of the leader's key as this controller wrote it.
     key_revision: int
     lease_id: int
     began_at: float
+    # The highest fencing token that is reserved for it.
+    highest_fencing_token: int
 
 
 class Election:
@@ -142,16 +146,16 @@
         self._wake.set()
 
     def observe_fencing_token(self, fencing_token: int) -> None:
-        """Step down if a fencing token that a peer or a worker sent is higher than this term's."""
+        """Step down if a fencing token that a peer or a worker sent is higher than all of this term's."""
         term = self.term
-        if term is not None and fencing_token > term.fencing_token:
+        if term is not None and fencing_token > term.highest_fencing_token:
             self.step_down(f"higher fencing token {fencing_token} was observed")
 
-    def record_fencing_token(self, fencing_token: int) -> None:
-        """Record this term's new, durable fencing token. The leader's key keeps the old one."""
+    def record_highest_fencing_token(self, fencing_token: int) -> None:
+        """Record that more fencing tokens, up to this one, are durably reserved for this term."""
         with self._lock:
             if self.term is not None:
-                self.term = self.term._replace(fencing_token=fencing_token)
+                self.term = self.term._replace(highest_fencing_token=fencing_token)
 
     def revoke_leader_lease(self, leader: Leader) -> None:
         """Revoke the lease of the known leader, whose process is presumably gone; other leaders are ignored.
@@ -261,7 +265,13 @@
     def _claim_leadership(self, lease_id: int, claim_started_at: float) -> None:
         """Try to become the leader; `confirmed_at` is then ``claim_started_at``, after the lease's grant."""
         leader = claim_leadership(self._store, self._member, lease_id)
-        term = Term(leader.fencing_token, leader.key_revision, lease_id, time.monotonic())
+        term = Term(
+            leader.fencing_token,
+            leader.key_revision,
+            lease_id,
+            time.monotonic(),
+            highest_reserved_fencing_token(leader.fencing_token),
+        )
         with self._lock:
             self.known_leader.record_own_election(leader)
             self.term = term
--- a/src/poppyhold/cluster/leader_key.py
+++ b/src/poppyhold/cluster/leader_key.py
@@ -9,6 +9,7 @@
 from poppyhold.durable.keys import FENCING_TOKEN_KEY, LEADER_KEY
 from poppyhold.durable.records import FencingTokenRecord, LeaderRecord
 from poppyhold.durable.store import Store
+from poppyhold.model.fencing_tokens import highest_reserved_fencing_token
 from poppyhold.wire import field_names as names
 from poppyhold.wire.codec import convert
 
@@ -17,6 +18,7 @@
     """The leader's key as last read."""
 
     member: str
+    # The lowest token of its term.
     fencing_token: int
     lease_id: int
     # Revision of the last change of the key.
@@ -30,20 +32,22 @@
 
 
 def claim_leadership(store: Store, member: str, lease_id: int) -> Leader:
-    """Write the leader's key, on a lease, and the next fencing token, if there is no leader.
+    """Write the leader's key, on a lease, and reserve the next fencing tokens, if there is no leader.
+
+    The key names the lowest of them; `highest_reserved_fencing_token` tells the highest.
 
     Raises:
-        ConditionFailedError: another controller leads, or issued a fencing token in the meantime.
+        ConditionFailedError: another controller leads, or reserved fencing tokens in the meantime.
         OutcomeUnknownError: the claim may still be committed, but only while the lease is valid.
         StoreRejectedError, LeaseExpiredError: the claim was not committed.
 
     """
-    issued = store.get(FENCING_TOKEN_KEY)
-    fencing_token = (convert(issued.data, FencingTokenRecord).fencing_token if issued else 0) + 1
-    conditions = {LEADER_KEY: 0, FENCING_TOKEN_KEY: issued.revision if issued else 0}
+    reserved = store.get(FENCING_TOKEN_KEY)
+    fencing_token = (convert(reserved.data, FencingTokenRecord).fencing_token if reserved else 0) + 1
+    conditions = {LEADER_KEY: 0, FENCING_TOKEN_KEY: reserved.revision if reserved else 0}
     writes = [
         put_record(LEADER_KEY, LeaderRecord(member, fencing_token, lease_id), lease_id),
-        put_record(FENCING_TOKEN_KEY, FencingTokenRecord(fencing_token)),
+        put_record(FENCING_TOKEN_KEY, FencingTokenRecord(highest_reserved_fencing_token(fencing_token))),
     ]
     try:
         key_revision = store.commit(conditions, writes)
--- a/src/poppyhold/cluster/lease_delegation.py
+++ b/src/poppyhold/cluster/lease_delegation.py
@@ -20,6 +20,7 @@
 class LeaseDelegation(NamedTuple):
     """The permission to renew workers' leases for a leader; sent with its pings."""
 
+    # The lowest token of the leader's term.
     fencing_token: int
     # Wall-clock time up to which the leadership is confirmed and every cancellation in the state service is
     # applied. The delegation ends `unconfirmed_renewal_s` later.
--- a/src/poppyhold/cluster/peer_messages.py
+++ b/src/poppyhold/cluster/peer_messages.py
@@ -49,6 +49,9 @@
     applied_revision: int = -1
     # Whether a leader accepts relayed heartbeats. Versions before this field never do.
     accepts_relays: bool = False
+    # The highest fencing token of a leader's term; `fencing_token` is the lowest. 0 from versions before this
+    # field, which use one at a time.
+    highest_fencing_token: int = 0
 
 
 class Pong(ControllerState, frozen=True, array_like=True, tag="pong"):
--- a/src/poppyhold/durable/records.py
+++ b/src/poppyhold/durable/records.py
@@ -22,7 +22,7 @@
 
 
 class FencingTokenRecord(msgspec.Struct, frozen=True):
-    """The highest fencing token that was issued."""
+    """The highest fencing token that is reserved for a leader: the next one begins above it."""
 
     fencing_token: int = msgspec.field(name=names.FENCING_TOKEN)
 
--- a/src/poppyhold/execution/attempt_lifecycle.py
+++ b/src/poppyhold/execution/attempt_lifecycle.py
@@ -8,6 +8,7 @@
 from poppyhold.execution.direct_commands import DirectCommands, OnCommandResponse
 from poppyhold.execution.gangs import Gangs
 from poppyhold.execution.heartbeat_commands import stop_command
+from poppyhold.execution.start_fencing import StartFencing
 from poppyhold.model.context import Context
 from poppyhold.model.entities import Attempt, Job, Machine, StartChannel
 from poppyhold.model.outcome import RequestOutcome
@@ -22,6 +23,7 @@
     def __init__(
         self,
         ctx: Context,
+        fencing: StartFencing,
         on_command_response: OnCommandResponse,
         on_attempt_terminated: Callable[[Attempt], None],
     ) -> None:
@@ -29,13 +31,14 @@
 
         Args:
             ctx: The context that the parts of the core share.
+            fencing: Voids starts whose outcome is unknown.
             on_command_response: Called with the outcome of each request to a worker.
             on_attempt_terminated: Called before an attempt that is proven terminated is removed.
 
         """
-        self._ctx, self._on_attempt_terminated = ctx, on_attempt_terminated
+        self._ctx, self._fencing, self._on_attempt_terminated = ctx, fencing, on_attempt_terminated
         self.gangs = Gangs(ctx, self.stop)
-        self.commands = DirectCommands(ctx, self.mark_terminated, on_command_response)
+        self.commands = DirectCommands(ctx, fencing, self.mark_terminated, on_command_response)
 
     def start(self, job: Job, index: int, machine: Machine, victims: list[Attempt]) -> Attempt:
         """Start a task on a machine, after stopping the victims there."""
@@ -103,7 +106,7 @@
             # The start was not executed, and won't be.
             self.mark_terminated(attempt)
         elif outcome == RequestOutcome.UNKNOWN:
-            attempt.void_at_fencing_token = self._ctx.fencing_token + 1
+            attempt.void_at_fencing_token = self._fencing.void_sent_starts(attempt.machine)
 
     def mark_terminated(self, attempt: Attempt) -> None:
         """Remove an attempt that is proven terminated."""
--- a/src/poppyhold/execution/direct_commands.py
+++ b/src/poppyhold/execution/direct_commands.py
@@ -1,17 +1,14 @@
-"""Direct requests to workers, and the fencing token that voids those whose outcome is unknown."""
+"""Direct requests to workers."""
 
 from __future__ import annotations
 
 import logging
 from collections.abc import Callable
 
-from poppyhold.durable.changes import put_record
-from poppyhold.durable.keys import FENCING_TOKEN_KEY
-from poppyhold.durable.records import FencingTokenRecord
 from poppyhold.execution.invariant_checks import record_start_of_finalized_job
+from poppyhold.execution.start_fencing import StartFencing
 from poppyhold.model.context import Context
 from poppyhold.model.entities import Attempt, JobPhase, Machine
-from poppyhold.model.outbound import CommitPriority
 from poppyhold.model.outcome import RequestOutcome
 from poppyhold.model.start_grant import StartGrant, StartRefusal
 from poppyhold.wire.worker_messages import Command, CommandKind, DirectCommandsRequest, Heartbeat
@@ -33,6 +30,7 @@
     def __init__(
         self,
         ctx: Context,
+        fencing: StartFencing,
         on_start_discarded: Callable[[Attempt], None],
         on_response: OnCommandResponse,
     ) -> None:
@@ -40,12 +38,13 @@
 
         Args:
             ctx: The context that the parts of the core share.
+            fencing: Decides which fencing token each request carries.
             on_start_discarded: Called with an attempt that is to be stopped and whose start was not sent.
             on_response: Called with the outcome of each request.
 
         """
-        self._ctx, self._on_start_discarded, self._on_response = ctx, on_start_discarded, on_response
-        self._fencing_token_write_in_flight = False
+        self._ctx, self._fencing = ctx, fencing
+        self._on_start_discarded, self._on_response = on_start_discarded, on_response
         self._term_began_at = ctx.clock()
         # A token bucket: how many silent workers may be probed now, and when it was last refilled.
         self._probe_credit, self._probe_credit_at = ctx.silent_probes_per_interval, self._term_began_at
@@ -130,9 +129,12 @@
         sent = [machine.attempts[name] for name in starts if name in machine.attempts]
         # An unreconciled worker's incarnation is unknown: if the request names another one, the worker
         # responds but executes nothing.
-        request = DirectCommandsRequest(ctx.fencing_token, machine.incarnation or 1, commands)
+        request = DirectCommandsRequest(
+            self._fencing.fencing_token(machine), machine.incarnation or 1, commands
+        )
         silent = ctx.clock() - machine.last_heartbeat_at > ctx.durations.silent_s
         if starts:
+            self._fencing.record_sent_starts(machine)
             log.debug(
                 "starts sent: machine=%s incarnation=%d fencing_token=%d tasks=%s",
                 machine.name,
@@ -172,7 +174,7 @@
             self._on_start_discarded(attempt)
             return False
         if attempt.job.phase is JobPhase.FINALIZED:
-            record_start_of_finalized_job(attempt, self._ctx.fencing_token)
+            record_start_of_finalized_job(attempt, self._fencing.fencing_token(machine))
             self._on_start_discarded(attempt)
             return False
         return True
@@ -180,37 +182,3 @@
     def discard(self, machine: Machine) -> None:
         """Drop the queued commands of a deleted machine."""
         self._outbox.pop(machine.name, None)
-
-    def raise_fencing_token(self) -> None:
-        """Raise the fencing token if it is unknown whether some start was executed.
-
-        A worker that has seen the new token rejects commands with the old one.
-        """
-        ctx = self._ctx
-        if self._fencing_token_write_in_flight:
-            return
-        required_fencing_token = max(
-            (
-                attempt.void_at_fencing_token or 0
-                for machine in ctx.fleet.machines.values()
-                for attempt in machine.attempts.values()
-            ),
-            default=0,
-        )
-        if required_fencing_token <= ctx.fencing_token:
-            return
-        self._fencing_token_write_in_flight = True
-        fencing_token = ctx.fencing_token + 1
-
-        def on_committed(done: bool) -> None:
-            self._fencing_token_write_in_flight = False
-            if done:
-                ctx.fencing_token = fencing_token
-                ctx.outbound.fencing_token_raised(fencing_token)
-
-        ctx.outbound.commit(
-            {},
-            [put_record(FENCING_TOKEN_KEY, FencingTokenRecord(fencing_token))],
-            on_committed,
-            CommitPriority.HIGHEST,
-        )
--- a/src/poppyhold/execution/heartbeat_commands.py
+++ b/src/poppyhold/execution/heartbeat_commands.py
@@ -4,6 +4,7 @@
 
 import logging
 
+from poppyhold.execution.start_fencing import StartFencing
 from poppyhold.model.context import Context
 from poppyhold.model.entities import Attempt, JobPhase, Machine, StartChannel
 from poppyhold.wire.task_names import split_task
@@ -23,26 +24,18 @@
 class HeartbeatCommands:
     """Selects commands by comparing a heartbeat with the attempts that are recorded for the machine."""
 
-    def __init__(self, ctx: Context) -> None:
-        self._ctx = ctx
+    def __init__(self, ctx: Context, fencing: StartFencing) -> None:
+        self._ctx, self._fencing = ctx, fencing
 
     def commands_for_new_heartbeat(self, machine: Machine, heartbeat: Heartbeat, now: float) -> list[Command]:
         """Return all commands that are due in the response to a heartbeat that was applied."""
-        commands: list[Command] = []
-        for task in heartbeat.tasks:
-            if task.status == TaskState.EXITED:
-                if self._may_forget_exit(task):
-                    log.debug(
-                        "exit forgotten: machine=%s incarnation=%d fencing_token=%d task=%s attempt=%d",
-                        machine.name,
-                        machine.incarnation,
-                        self._ctx.fencing_token,
-                        task.task,
-                        task.attempt,
-                    )
-                    commands.append(Command(CommandKind.FORGET, task.task, task.attempt))
-            elif task.task in machine.unknown_tasks:
-                commands.append(Command(CommandKind.STOP, task.task, task.attempt, 0.0))
+        commands = self._forget_commands(machine, heartbeat)
+        if machine.unknown_tasks:
+            commands += [
+                Command(CommandKind.STOP, task.task, task.attempt, 0.0)
+                for task in heartbeat.tasks
+                if task.status != TaskState.EXITED and task.task in machine.unknown_tasks
+            ]
         for attempt in machine.attempts.values():
             if attempt.stop_requested_at is not None:
                 commands.append(stop_command(attempt, now))
@@ -73,6 +66,25 @@
                 commands.append(Command(CommandKind.STOP, task.task, task.attempt, 0.0))
         return commands
 
+    def _forget_commands(self, machine: Machine, heartbeat: Heartbeat) -> list[Command]:
+        """Return the commands that let the worker forget its exited attempts, as far as it may now."""
+        exits = [
+            task
+            for task in heartbeat.tasks
+            if task.status == TaskState.EXITED and self._may_forget_exit(task)
+        ]
+        if not exits or not self._fencing.may_forget_exits(machine, len(exits)):
+            return []
+        log.debug(
+            "exits forgotten: machine=%s incarnation=%d fencing_token=%d newest_start=%d tasks=%s",
+            machine.name,
+            machine.incarnation,
+            self._fencing.fencing_token(machine),
+            machine.newest_start_fencing_token,
+            [task.task for task in exits],
+        )
+        return [Command(CommandKind.FORGET, task.task, task.attempt) for task in exits]
+
     def _may_forget_exit(self, task: TaskStatus) -> bool:
         """Whether a worker may forget a task that ended.
 
--- a/src/poppyhold/execution/invariant_checks.py
+++ b/src/poppyhold/execution/invariant_checks.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from poppyhold.model.entities import Attempt
+from poppyhold.model.entities import Attempt, Machine
 from poppyhold.model.invariants import Invariant, violations
+from poppyhold.wire.worker_messages import Command, CommandKind
 
 
 def record_start_of_finalized_job(attempt: Attempt, fencing_token: int) -> None:
@@ -22,6 +23,22 @@
     return False
 
 
+def without_premature_forgets(machine: Machine, fencing_token: int, commands: list[Command]) -> list[Command]:
+    """Return the commands of a response; without those to forget, if its token would not void all starts.
+
+    The worker would execute a copy of a request with the start of an attempt that it has forgotten.
+    """
+    if fencing_token > machine.newest_start_fencing_token:
+        return commands
+    safe = [command for command in commands if command.kind is not CommandKind.FORGET]
+    if len(safe) < len(commands):
+        evidence = (
+            f"fencing_token={fencing_token} newest_start_fencing_token={machine.newest_start_fencing_token}"
+        )
+        violations.record(Invariant.FORGETTING_VOIDS_STARTS, machine.name, evidence)
+    return safe
+
+
 def _record(invariant: Invariant, attempt: Attempt, fencing_token: int) -> None:
     evidence = f"machine={attempt.machine.name} attempt={attempt.number} fencing_token={fencing_token}"
     violations.record(invariant, attempt.name, evidence)
--- a/src/poppyhold/execution/reconciliation.py
+++ b/src/poppyhold/execution/reconciliation.py
@@ -8,9 +8,10 @@
 from poppyhold.execution.attempt_lifecycle import AttemptLifecycle
 from poppyhold.execution.failures import FailureTracker
 from poppyhold.execution.heartbeat_commands import HeartbeatCommands
-from poppyhold.execution.invariant_checks import has_stop
+from poppyhold.execution.invariant_checks import has_stop, without_premature_forgets
 from poppyhold.execution.lease_expiry import LeaseExpiry
 from poppyhold.execution.machine_records import request_machine_record
+from poppyhold.execution.start_fencing import StartFencing
 from poppyhold.execution.task_observation import TaskObserver
 from poppyhold.model.context import Context
 from poppyhold.model.entities import Attempt, Job, JobPhase, Machine, StartChannel
@@ -36,12 +37,15 @@
     ) -> None:
         self._ctx = ctx
         self.failures = failures
-        self.lifecycle = AttemptLifecycle(ctx, self._handle_command_response, on_attempt_terminated)
+        self.fencing = StartFencing(ctx)
+        self.lifecycle = AttemptLifecycle(
+            ctx, self.fencing, self._handle_command_response, on_attempt_terminated
+        )
         self.lease_expiry = LeaseExpiry(ctx, self.lifecycle)
         self._task_observer = TaskObserver(ctx, self.lifecycle, failures, on_task_completed, on_run_completed)
         # Called for every task of every heartbeat, hence bound once.
         self._observe_task = self._task_observer.observe_task
-        self._heartbeat_commands = HeartbeatCommands(ctx)
+        self._heartbeat_commands = HeartbeatCommands(ctx, self.fencing)
 
     def handle_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatResponse | None:
         """Return the response to a worker's heartbeat; None if it gets none.
@@ -51,7 +55,7 @@
         """
         ctx = self._ctx
         now = ctx.clock()
-        if heartbeat.fencing_token > ctx.fencing_token:
+        if heartbeat.fencing_token > ctx.highest_fencing_token:
             ctx.outbound.leadership_lost(heartbeat.fencing_token)
             return None
         machine = ctx.fleet.machines.get(heartbeat.machine)
@@ -60,6 +64,7 @@
             if machine is None:
                 return None
         machine.endpoint = heartbeat.endpoint
+        self.fencing.observe_fencing_token(machine, heartbeat.fencing_token)
         if heartbeat.fencing_token < ctx.term_fencing_token and self._seems_to_miss_responses(machine, now):
             self.lifecycle.commands.request_heartbeat(machine, now)
             return None
@@ -84,7 +89,8 @@
             commands = self._heartbeat_commands.commands_for_new_heartbeat(machine, heartbeat, now)
         else:
             commands = self._heartbeat_commands.stop_commands(machine, heartbeat, now)
-        return HeartbeatResponse(ctx.fencing_token, commands)
+        fencing_token = self.fencing.fencing_token(machine)
+        return HeartbeatResponse(fencing_token, without_premature_forgets(machine, fencing_token, commands))
 
     @staticmethod
     def _is_newer(heartbeat: Heartbeat, machine: Machine) -> bool:
@@ -95,7 +101,8 @@
         """Whether a response may renew the machine's lease, given its attempts of finalized jobs."""
         for attempt in machine.attempts.values():
             if attempt.job.phase is _FINALIZED and (
-                self._lease_must_expire(attempt, now) or not has_stop(attempt, self._ctx.fencing_token)
+                self._lease_must_expire(attempt, now)
+                or not has_stop(attempt, self.fencing.fencing_token(machine))
             ):
                 return False
         return True
@@ -104,10 +111,10 @@
         """Whether only the end of the worker's lease can void a late start of a finalized job in time.
 
         A stop is executed before such a start, and has no effect. A higher fencing token voids the start, but
-        can't be made durable without the state service.
+        none can be reserved without the state service.
         """
         if now <= attempt.job.renewals_allowed_until or not attempt.start_may_follow_response(
-            self._ctx.fencing_token
+            self.fencing.fencing_token(attempt.machine)
         ):
             return False
         log.info(
@@ -244,9 +251,11 @@
         machine.command_in_flight = False
         if ctx.fleet.machines.get(machine.name) is not machine:
             return
-        if heartbeat is not None and heartbeat.fencing_token > ctx.fencing_token:
+        if heartbeat is not None and heartbeat.fencing_token > ctx.highest_fencing_token:
             ctx.outbound.leadership_lost(heartbeat.fencing_token)
             return
+        if heartbeat is not None and heartbeat.machine == machine.name:
+            self.fencing.observe_fencing_token(machine, heartbeat.fencing_token)
         for attempt in started_attempts:
             if machine.attempts.get(attempt.name) is attempt:
                 self.lifecycle.handle_start_outcome(attempt, outcome)
--- a/src/poppyhold/model/context.py
+++ b/src/poppyhold/model/context.py
@@ -34,15 +34,16 @@
     clock: Final[Callable[[], float]]
     wall_clock: Final[Callable[[], float]]
     rng: Final[random.Random]
-    # The fencing token with which the term began.
+    # The lowest fencing token of the term, with which it began.
     term_fencing_token: Final[int]
     # Largest fleet whose workers are probed for heartbeats as soon as a term begins.
     max_initial_probes: Final[float] = math.inf
     # Largest number of probes of silent workers within one heartbeat interval.
     silent_probes_per_interval: Final[float] = 1e9
 
-    # The fencing token sent with commands, raised within the term. Written by `execution.direct_commands`.
-    fencing_token: int
+    # The highest fencing token that is reserved for the term; each machine has its own in between. Written by
+    # `execution.start_fencing`.
+    highest_fencing_token: int
     # Jobs and machines; each part writes those of their fields that it decides on.
     fleet: Fleet = msgspec.field(default_factory=Fleet)
     # Written by `node.controller` as a term begins and when the cloud lists its machine types.
--- a/src/poppyhold/model/entities.py
+++ b/src/poppyhold/model/entities.py
@@ -303,6 +303,10 @@
     incarnation: int = 0
     sequence: int = -1
     last_heartbeat_at: float = float("-inf")
+    # The fencing token that messages to its worker need, and that of the newest direct starts sent to it; see
+    # `execution.start_fencing`.
+    required_fencing_token: int = 0
+    newest_start_fencing_token: int = 0
     # When the cloud last listed it.
     listed_at: float = float("-inf")
     # When this controller last answered a heartbeat of its worker.
--- a/src/poppyhold/model/invariants.py
+++ b/src/poppyhold/model/invariants.py
@@ -19,6 +19,7 @@
     START_NEEDS_GRANT = "start needs grant"
     NO_START_OF_FINALIZED_JOB = "no start of finalized job"
     RENEWAL_STOPS_FINALIZED_JOB = "renewal stops finalized job"
+    FORGETTING_VOIDS_STARTS = "forgetting voids starts"
     FINAL_ANSWER_IS_DURABLE = "final answer is durable"
 
 
--- a/src/poppyhold/model/outbound.py
+++ b/src/poppyhold/model/outbound.py
@@ -80,8 +80,8 @@
     def leadership_lost(self, fencing_token: int) -> None:
         """Record that a higher fencing token than this leader's was seen."""
 
-    def fencing_token_raised(self, fencing_token: int) -> None:
-        """Record that this leader's fencing token was raised."""
+    def fencing_tokens_reserved(self, highest_fencing_token: int) -> None:
+        """Record that this leader's term has fencing tokens up to a higher one."""
 
     def resign(self, reason: str) -> None:
         """Give up leadership, so that another controller can lead."""
--- a/src/poppyhold/node/cancellation_tracker.py
+++ b/src/poppyhold/node/cancellation_tracker.py
@@ -82,5 +82,5 @@
             return
         confirmed_wall_time = time.time() - (time.monotonic() - confirmed_at)
         self.delegation = LeaseDelegation(
-            self._controller.ctx.fencing_token, confirmed_wall_time, excluded_machines
+            self._controller.ctx.term_fencing_token, confirmed_wall_time, excluded_machines
         )
--- a/src/poppyhold/node/controller.py
+++ b/src/poppyhold/node/controller.py
@@ -15,6 +15,7 @@
 from poppyhold.model.context import Context, ImageHints
 from poppyhold.model.durations import Durations
 from poppyhold.model.entities import Attempt, Job, JobPhase
+from poppyhold.model.fencing_tokens import highest_reserved_fencing_token
 from poppyhold.model.job_status import TaskCounts
 from poppyhold.model.outbound import OutboundPort
 from poppyhold.node.job_lifecycle import JobLifecycle
@@ -66,7 +67,7 @@
             term_fencing_token=fencing_token,
             max_initial_probes=connections * options.relays.from_share,
             silent_probes_per_interval=connections * _SILENT_PROBE_SHARE,
-            fencing_token=fencing_token,
+            highest_fencing_token=highest_reserved_fencing_token(fencing_token),
         )
         self._quotas = Quotas(settings.deployment.teams)
         self.failures = FailureTracker(durations, clock, self._on_fault_status_changed)
@@ -176,7 +177,7 @@
         self.failures.tick()
         self.autoscaler.watch()
         self._machines.drain_all(now)
-        self.reconciler.lifecycle.commands.raise_fencing_token()
+        self.reconciler.fencing.reserve_fencing_tokens()
         self.reconciler.lifecycle.gangs.tick(now)
         if now >= self._save_completions_at:
             interval_s = self.ctx.durations.heartbeat_interval_s
--- a/src/poppyhold/node/outbound_adapter.py
+++ b/src/poppyhold/node/outbound_adapter.py
@@ -100,9 +100,9 @@
         """See `OutboundPort`."""
         self._election.observe_fencing_token(fencing_token)
 
-    def fencing_token_raised(self, fencing_token: int) -> None:
+    def fencing_tokens_reserved(self, highest_fencing_token: int) -> None:
         """See `OutboundPort`."""
-        self._election.record_fencing_token(fencing_token)
+        self._election.record_highest_fencing_token(highest_fencing_token)
 
     def resign(self, reason: str) -> None:
         """See `OutboundPort`."""
--- a/src/poppyhold/node/peer_handler.py
+++ b/src/poppyhold/node/peer_handler.py
@@ -122,6 +122,7 @@
             delegation=delegation,
             applied_revision=applied_revision,
             accepts_relays=leader_term is not None and self._accepts_relays(leader_term),
+            highest_fencing_token=term.highest_fencing_token if term else 0,
         )
 
     def _confirmed_cancellations(self) -> tuple[list[Cancellation], int]:
@@ -158,7 +159,9 @@
     def _apply_leader_ping(self, ping: Ping) -> None:
         self._election.observe_fencing_token(ping.fencing_token)
         self._forwarder.record_ping(ping.fencing_token, ping.accepts_relays)
-        self._delegated_renewals.observe_leader(ping.fencing_token, ping.delegation)
+        self._delegated_renewals.observe_leader(
+            ping.fencing_token, ping.delegation, ping.highest_fencing_token
+        )
         limits = self._settings.deployment.machine_limits
         counts = dict(self._peer_task_counts)
         counts.update({job: TaskCounts(done, running) for job, done, running in ping.task_counts})
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -9,6 +9,7 @@
 from poppyhold.cluster.cancellations import Cancellations
 from poppyhold.durable.errors import OutcomeUnknownError
 from poppyhold.durable.store import Store
+from poppyhold.execution.start_fencing import StartFencing
 from poppyhold.model.entities import Attempt, JobPhase
 from poppyhold.model.invariants import VIOLATION_PREFIX, Invariant, violations
 from poppyhold.model.job_status import FinalState, JobStatus
@@ -71,6 +72,18 @@
     assert_violated(invariant_violations, Invariant.NO_START_OF_FINALIZED_JOB, TASK)
 
 
+def test_no_response_lets_a_worker_forget_an_exit_under_the_fencing_token_of_its_start(
+    leading: tuple[World, SimLeaderTerm], invariant_violations: list[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    world, term = leading
+    world.workers[MACHINE].tasks[TASK].update(status="ended", cause="stopped", until=None)
+    monkeypatch.setattr(StartFencing, "may_forget_exits", lambda *_: True)
+    answer = term.controller.handle_heartbeat(parse_heartbeat(world.workers[MACHINE].heartbeat()))
+    assert answer is not None
+    assert answer.commands == []
+    assert_violated(invariant_violations, Invariant.FORGETTING_VOIDS_STARTS, MACHINE)
+
+
 def test_no_start_leaves_without_a_grant(invariant_violations: list[str]) -> None:
     dispatcher = CommandDispatcher(World(1, 10.0, 30.0, []).settings, 1.0)
     outcomes: list[RequestOutcome] = []
--- a/tests/test_lease_delegation.py
+++ b/tests/test_lease_delegation.py
@@ -135,6 +135,32 @@
     )
 
 
+def test_leases_are_renewed_with_any_token_of_that_leaders_term_and_with_no_other() -> None:
+    clocks = Clocks()
+    renewals, durations = delegate(clocks)
+    highest_fencing_token = FENCING_TOKEN + 9
+    renewals.observe_leader(
+        FENCING_TOKEN, LeaseDelegation(FENCING_TOKEN, CONFIRMED_UNTIL_WALL, []), highest_fencing_token
+    )
+    clocks.now += 2 * durations.delegated_renewal_after_s
+    for fencing_token in (FENCING_TOKEN, FENCING_TOKEN + 4, highest_fencing_token):
+        # The worker's own token: it would drop a response with a lower one.
+        assert (
+            renewals.renewal_fencing_token(heartbeat(fencing_token), LONG_AGO, FENCING_TOKEN, True)
+            == fencing_token
+        )
+    for fencing_token in (FENCING_TOKEN - 1, highest_fencing_token + 1):
+        assert renewals.renewal_fencing_token(heartbeat(fencing_token), LONG_AGO, FENCING_TOKEN, True) is None
+    # A leader of the version before uses one token, whatever the one before it used.
+    renewals.observe_leader(
+        highest_fencing_token + 1, LeaseDelegation(highest_fencing_token + 1, CONFIRMED_UNTIL_WALL, [])
+    )
+    clocks.now += 2 * durations.delegated_renewal_after_s
+    for fencing_token in (FENCING_TOKEN + 4, highest_fencing_token + 2):
+        worker = heartbeat(fencing_token)
+        assert renewals.renewal_fencing_token(worker, LONG_AGO, highest_fencing_token + 1, True) is None
+
+
 def test_the_first_renewal_after_each_ping_of_the_leader_is_logged(caplog: pytest.LogCaptureFixture) -> None:
     clocks = Clocks()
     renewals, durations = delegate(clocks)
