Drawn scenarios and the soak repeat direct commands that were answered

- The soak: commands_repeated, once a run and drawn last: copies come up to 40 s later, and again each time that a controller is killed.
The short soak of the tests has it too.

--- a/src/poppyhold/scale/soak/faults.py
+++ b/src/poppyhold/scale/soak/faults.py
@@ -79,6 +79,8 @@
 
     async def _kill_for(self, controller: ControllerProcess, for_s: float) -> None:
         controller.kill()
+        for worker in self._workers():
+            worker.deliver_kept_commands()
         await asyncio.sleep(for_s)
         if not controller.alive:
             await self._controllers.start(controller)
@@ -153,6 +155,9 @@
         elif fault.kind is FaultKind.COMMANDS_LATE:
             for worker in self._workers():
                 worker.late_commands_until, worker.late_share = until, fault.share
+        elif fault.kind is FaultKind.COMMANDS_REPEATED:
+            for worker in self._workers():
+                worker.repeats_until, worker.repeated_share = until, fault.share
         elif fault.kind is FaultKind.HEARTBEATS_TO_NEXT_LEADER:
             for worker in self._some_workers(fault.share):
                 worker.copies_kept_until = until
--- a/src/poppyhold/scale/soak/faulty_worker.py
+++ b/src/poppyhold/scale/soak/faulty_worker.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import time
+from collections import deque
 from collections.abc import Coroutine
 from http import HTTPStatus
 from typing import Any
@@ -14,9 +15,12 @@
 from poppyhold.scale.simulated_worker import HEARTBEAT_TIMEOUT_S, SimulatedWorker, WorkerFigures
 from poppyhold.scale.worker_standin import WorkerStandIn
 
-# How late copies of heartbeats, and late commands, arrive, in seconds.
-_COPY_DELAY_S, _COMMAND_DELAY_S = (2.0, 20.0), (2.0, 24.0)
-_MAX_KEPT_COPIES = 20
+# How late copies of heartbeats, late commands, and commands that were executed before arrive, in seconds.
+_COPY_DELAY_S, _COMMAND_DELAY_S, _REPEAT_DELAY_S = (2.0, 20.0), (2.0, 24.0), (0.1, 40.0)
+# The same for commands that are kept until a controller is killed.
+_KEPT_COMMAND_DELAY_S = (0.0, 0.6)
+_MAX_KEPT_COPIES = _MAX_KEPT_COMMANDS = 20
+_COMMAND_PATH = "/do"
 
 
 class FaultyWorker(SimulatedWorker):
@@ -33,9 +37,12 @@
         super().__init__(standin, nodes, heartbeat_interval_s, figures, rng)
         self.hangs_until = self.inbound_lost_until = self.heartbeats_lost_until = 0.0
         self.copies_until = self.copies_kept_until = self.late_commands_until = 0.0
-        # Shares of the messages that are copied or late.
-        self.copied_share = self.late_share = 0.0
+        self.repeats_until = 0.0
+        # Shares of the messages that are copied, late or repeated.
+        self.copied_share = self.late_share = self.repeated_share = 0.0
         self._kept_copies: list[Data] = []
+        # Bodies of the newest direct commands that were executed.
+        self._kept_commands: deque[bytes] = deque(maxlen=_MAX_KEPT_COMMANDS)
         self._late: set[asyncio.Task[None]] = set()
 
     def close(self) -> None:
@@ -58,6 +65,11 @@
         for body in copies:
             self._spawn(self._deliver_copy(body, 0.0))
 
+    def deliver_kept_commands(self) -> None:
+        """Deliver direct commands again that were executed before, and keep them for the next time."""
+        for body in self._kept_commands:
+            self._spawn(self._repeat_command(body, self._rng.uniform(*_KEPT_COMMAND_DELAY_S)))
+
     # -- hooks of the simulated worker -----------------------------------------------------------------
 
     async def _wait(self) -> None:
@@ -91,10 +103,33 @@
         # The lease may have run out meanwhile.
         self.standin.expire()
         answer = await super()._handle_command(method, path, body)
+        if answer[0] == HTTPStatus.OK and now < self.repeats_until:
+            self._keep_command(path, body)
         if is_late:
             raise ValueError("the answer to a late command is lost")
         return answer
 
+    # -- repeated commands ------------------------------------------------------------------------------
+
+    def _keep_command(self, path: str, body: bytes) -> None:
+        if path != _COMMAND_PATH or self._rng.random() >= self.repeated_share:
+            return
+        self._kept_commands.append(body)
+        self._spawn(self._repeat_command(body, self._rng.uniform(*_REPEAT_DELAY_S)))
+
+    async def _repeat_command(self, body: bytes, delay_s: float) -> None:
+        """Deliver a direct command again, and drop the response."""
+        await asyncio.sleep(delay_s)
+        await asyncio.sleep(max(0.0, self.hangs_until - time.monotonic()))
+        if time.monotonic() < self.inbound_lost_until:
+            return
+        self.standin.expire()
+        try:
+            await super()._handle_command("POST", _COMMAND_PATH, body)
+        except ValueError:
+            # The worker is gone or offline.
+            return
+
     # -- copies ----------------------------------------------------------------------------------------
 
     def _copy(self, body: Data, now: float) -> None:
--- a/src/poppyhold/scale/soak/schedule.py
+++ b/src/poppyhold/scale/soak/schedule.py
@@ -44,6 +44,8 @@
     HEARTBEATS_TO_NEXT_LEADER = "heartbeats_to_next_leader"
     # Direct commands are executed seconds late and not answered.
     COMMANDS_LATE = "commands_late"
+    # Direct commands that were executed are delivered again: seconds later, and as a controller is killed.
+    COMMANDS_REPEATED = "commands_repeated"
     # Users cancel several jobs at once.
     CANCEL_BURST = "cancel_burst"
 
@@ -120,6 +122,9 @@
     FaultKind.STATE_OUT,
     FaultKind.COMMANDS_LATE,
 )
+# Drawn once a run, after everything else, so that a seed's other draws are the same without it.
+_LAST_KIND = FaultKind.COMMANDS_REPEATED
+_DRAWN_KINDS = tuple(kind for kind in FaultKind if kind is not _LAST_KIND)
 # How many groups of faults there are, how many faults each has, and within how many seconds they begin.
 _GROUPS, _GROUP_SIZES, _WITHIN_GROUP_S = (3, 5), (2, 3), (0.0, 4.0)
 # Shares of long faults among the kinds that may be long, and of faults that may hit another than the leader.
@@ -143,6 +148,9 @@
         burst_at = begins_at + rng.uniform(*_WITHIN_GROUP_S)
         faults.append(SoakFault(FaultKind.CANCEL_BURST, burst_at, 0.0, share=rng.uniform(0.1, 0.5)))
     jobs = [_draw_job(rng) for _ in range(int(workers * _JOBS_PER_WORKER))]
+    faults.append(
+        SoakFault(_LAST_KIND, rng.uniform(*_SHORT_S), rng.uniform(*_LONG_S), share=rng.choice([0.3, 1.0]))
+    )
     return SoakSchedule(
         seed,
         workers,
@@ -154,7 +162,7 @@
 
 
 def _draw_fault(rng: random.Random, at_s: float, controllers: int) -> SoakFault:
-    kind = rng.choice([*FaultKind, *_FREQUENT_KINDS])
+    kind = rng.choice([*_DRAWN_KINDS, *_FREQUENT_KINDS])
     at_s = min(at_s, _FAULTS_END_S)
     is_long = kind in _LONG_KINDS and rng.random() < _LONG_SHARE
     for_s = rng.uniform(*(_LONG_S if is_long else _SHORT_S))
--- a/tests/mix.py
+++ b/tests/mix.py
@@ -1,8 +1,9 @@
 """Random scenarios of overlapping faults, generated from a seed.
 
-`python tests/mix.py FIRST COUNT [ZONES [RELAYS]]` runs more of them than the tests do, and prints those that
-violate a rule. ZONES are letters, by default `ab`; with `abc` each zone has a controller, and two may be
-partitioned. RELAYS is `off`, or `forced` for relayed heartbeats.
+`python tests/mix.py FIRST COUNT [ZONES [RELAYS [repeated]]]` runs more of them than the tests do, and prints
+those that violate a rule. ZONES are letters, by default `ab`; with `abc` each zone has a controller, and two
+may be partitioned. RELAYS is `off`, or `forced` for relayed heartbeats. With `repeated`, direct commands that
+were executed arrive again.
 """
 
 from __future__ import annotations
@@ -290,10 +291,19 @@
         )
 
 
-def random_scenario(seed: int, zones: str = "ab", relays: str = "off") -> str:
+def _repeats(rng: random.Random) -> Iterator[tuple[float, str]]:
+    """Direct commands that were executed arrive again, in two spells, one of which may end with a leader."""
+    for _ in range(2):
+        at = rng.uniform(2.0, 50.0)
+        share, when = rng.choice([0.3, 1.0]), rng.choice(["later", "as_leader_ends"])
+        yield at, f"repeat_commands {share} for {rng.uniform(10.0, 30.0):.1f} {when}"
+    yield rng.uniform(20.0, 90.0), "crash leader for 2"
+
+
+def random_scenario(seed: int, zones: str = "ab", relays: str = "off", repeats: bool = False) -> str:
     """The text of a scenario; each letter of ``zones`` names a zone.
 
-    A seed's draws do not depend on whether heartbeats are relayed.
+    A seed's other draws do not depend on whether heartbeats are relayed, or direct commands repeated.
     """
     rng = random.Random(seed)
     cancel_s = rng.choice([22, 22, 30, 45])
@@ -310,6 +320,8 @@
         for kind, number in (("on_demand", 12), ("spot", 4))
     ]
     events = [*_events(rng, cancel_s, zones), *_operations(rng, zones)]
+    if repeats:
+        events += _repeats(rng)
     lines += [f"at {at:.2f} {text}" for at, text in sorted(events)]
     return "\n".join(
         [*lines, f"at {FAULTS_END_S + 10} check_liveness", f"at {SCENARIO_END_S} expect settled", ""]
@@ -323,9 +335,10 @@
     first, count = int(sys.argv[1]), int(sys.argv[2])
     zones = sys.argv[3] if len(sys.argv) > _ARGS_WITHOUT_ZONES else "ab"
     relays = sys.argv[4] if len(sys.argv) > _ARGS_WITHOUT_RELAYS else "off"
+    repeats = "repeated" in sys.argv[_ARGS_WITHOUT_RELAYS:]
     failed = 0
     for seed in range(first, first + count):
-        scenario = Scenario(random_scenario(seed, zones, relays), seed)
+        scenario = Scenario(random_scenario(seed, zones, relays, repeats), seed)
         scenario.play()
         if scenario.world.violations or scenario.failures:
             failed += 1
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -68,3 +68,15 @@
 def test_random_scenario(seed: int, zones: str, relays: str) -> None:
     text = mix.random_scenario(seed, zones, relays)
     assert play(text, seed) == [], f"seed {seed}:\n{text}"
+
+
+@pytest.mark.parametrize(
+    ("seed", "zones", "relays"),
+    [
+        *((seed, "ab", "off") for seed in RANDOM_SEEDS),
+        *((seed, "abc", "forced") for seed in THREE_ZONE_SEEDS),
+    ],
+)
+def test_random_scenario_with_repeated_commands(seed: int, zones: str, relays: str) -> None:
+    text = mix.random_scenario(seed, zones, relays, repeats=True)
+    assert play(text, seed) == [], f"seed {seed}:\n{text}"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -57,6 +57,7 @@
         SoakFault(FaultKind.STATE_OUT, 5.0, 3.0),
         SoakFault(FaultKind.CUT_PEERS, 6.0, 2.0),
         SoakFault(FaultKind.COMMANDS_LATE, 4.0, 5.0, share=0.5),
+        SoakFault(FaultKind.COMMANDS_REPEATED, 0.2, 11.0, share=1.0),
     ],
     jobs=[job for job in draw_schedule(1, 12, 3).jobs if job.at_s <= 12.0],
 )
@@ -288,6 +289,39 @@
     assert asyncio.run(play()) == []
 
 
+def test_an_executed_command_is_delivered_again_with_the_same_token_and_incarnation() -> None:
+    async def play(later_token: int) -> list[str]:
+        worker = make_worker()
+        worker.repeats_until, worker.repeated_share = time.monotonic() + 1.0, 1.0
+        await worker._handle_command("POST", "/do", command())
+        worker.standin.tasks.clear()
+        worker.standin.fencing_token = later_token
+        await worker._repeat_command(command(), 0.0)
+        executed = list(worker.standin.tasks)
+        worker.close()
+        return executed
+
+    assert asyncio.run(play(1)) == [f"{JOB}/0"]
+    assert asyncio.run(play(2)) == []
+
+
+def test_executed_commands_are_kept_and_delivered_again_as_a_controller_is_killed() -> None:
+    async def play(repeated_share: float) -> list[str]:
+        worker = make_worker()
+        worker.repeats_until, worker.repeated_share = time.monotonic() + 1.0, repeated_share
+        await worker._handle_command("POST", "/do", command())
+        worker.standin.tasks.clear()
+        worker.deliver_kept_commands()
+        # Longer than `_KEPT_COMMAND_DELAY_S`.
+        await asyncio.sleep(0.7)
+        executed = list(worker.standin.tasks)
+        worker.close()
+        return executed
+
+    assert asyncio.run(play(1.0)) == [f"{JOB}/0"]
+    assert asyncio.run(play(0.0)) == []
+
+
 def test_a_state_service_that_is_out_refuses_all_and_renews_every_lease_at_the_end() -> None:
     async def play() -> tuple[int, int, int]:
         service = StateService(StateLimits(), random.Random(1))
