An answered start that its worker ignored is over only once a higher token voids it

Cause: a heartbeat without a start that was answered counted as proof of its end. A worker ignores a start while it lists an earlier attempt of the task, for one when the request overtakes the response that lets the worker forget that attempt; both carry the same token. Then the task went on elsewhere, and a copy of the ignored start would be executed.

Why this works: such a start is treated like one without an answer: the machine's token rises above it, a request without commands brings it at once, and the attempt is over when a heartbeat shows it. The task waits for one more request; nothing else does.

Changed: the case command-was-delivered of the test of proofs, a start that was answered and is absent, was taken for a proof; it expects none now (answered-but-a-copy-may-be-executed).

--- a/src/poppyhold/execution/attempt_lifecycle.py
+++ b/src/poppyhold/execution/attempt_lifecycle.py
@@ -108,6 +108,19 @@
         elif outcome == RequestOutcome.UNKNOWN:
             attempt.void_at_fencing_token = self._fencing.void_sent_starts(attempt.machine)
 
+    def void_ignored_start(self, attempt: Attempt, now: float) -> None:
+        """Void a start that its worker answered and ignored: a copy of it may still be executed.
+
+        Most likely the worker still lists an earlier, exited attempt of the task, until a heartbeat response
+        tells it to forget that. With immediate retries, its newest heartbeat would always come in the
+        response to a direct request, and get no response itself.
+        """
+        machine = attempt.machine
+        attempt.void_at_fencing_token = self._fencing.void_sent_starts(machine)
+        machine.unschedulable_until = now + 2 * self._ctx.durations.heartbeat_interval_s
+        # A request without commands brings the token at once.
+        self.commands.enqueue(machine)
+
     def mark_terminated(self, attempt: Attempt) -> None:
         """Remove an attempt that is proven terminated."""
         log.debug(
--- a/src/poppyhold/execution/reconciliation.py
+++ b/src/poppyhold/execution/reconciliation.py
@@ -185,10 +185,8 @@
                 present.add(task.task)
                 self._observe_task(machine, task, now)
         for attempt in list(machine.attempts.values()):
-            if attempt.name not in present and self._absence_proves_termination(
-                attempt, heartbeat, is_unsolicited
-            ):
-                self._mark_absent(attempt, now)
+            if attempt.name not in present:
+                self._handle_absence(attempt, heartbeat, is_unsolicited, now)
         self.lease_expiry.unreconciled.discard(machine.name)
 
     def _begin_incarnation(self, machine: Machine, incarnation: int, now: float) -> None:
@@ -202,23 +200,25 @@
             if attempt.incarnation < incarnation:
                 self.lifecycle.mark_terminated(attempt)
 
+    def _handle_absence(
+        self, attempt: Attempt, heartbeat: Heartbeat, is_unsolicited: bool, now: float
+    ) -> None:
+        """Handle that a newer heartbeat does not list an attempt: it is terminated, or may still start."""
+        if self._absence_proves_termination(attempt, heartbeat, is_unsolicited):
+            self._mark_absent(attempt, now)
+        elif attempt.direct_start_was_answered:
+            self.lifecycle.void_ignored_start(attempt, now)
+
     def _mark_absent(self, attempt: Attempt, now: float) -> None:
         """Remove an attempt that a heartbeat proves not to be on its machine."""
-        if attempt.status == TaskState.SENT and attempt.stop_requested_at is None:
-            self._back_off_machine(attempt, now)
-        self.lifecycle.mark_terminated(attempt)
-
-    def _back_off_machine(self, attempt: Attempt, now: float) -> None:
-        """Exclude a machine that did not execute a start from scheduling for a while."""
-        durations = self._ctx.durations
-        if attempt.start_channel is StartChannel.HEARTBEAT_RESPONSE:
+        if (
+            attempt.status == TaskState.SENT
+            and attempt.stop_requested_at is None
+            and attempt.start_channel is StartChannel.HEARTBEAT_RESPONSE
+        ):
             # The response that carried the start seems not to have reached the machine.
-            attempt.machine.unschedulable_until = now + durations.lease_s / 2
-        elif attempt.void_at_fencing_token is None:
-            # The machine got the start. Most likely it still lists an earlier, exited attempt of the task,
-            # until a heartbeat response tells it to forget that. With immediate retries, its newest heartbeat
-            # would always come in the response to a direct request, and get no response itself.
-            attempt.machine.unschedulable_until = now + 2 * durations.heartbeat_interval_s
+            attempt.machine.unschedulable_until = now + self._ctx.durations.lease_s / 2
+        self.lifecycle.mark_terminated(attempt)
 
     @staticmethod
     def _absence_proves_termination(attempt: Attempt, heartbeat: Heartbeat, is_unsolicited: bool) -> bool:
@@ -227,16 +227,15 @@
             return True
         if attempt.start_in_flight:
             return False
-        if attempt.void_at_fencing_token is not None:
-            # The start may be delayed in the network; a worker that has seen this token or a higher one
-            # rejects it.
-            return heartbeat.fencing_token >= attempt.void_at_fencing_token
         if attempt.start_channel is StartChannel.HEARTBEAT_RESPONSE:
             # A worker sends the next heartbeat only once the response has come or timed out. A start that was
             # not sent yet (sequence -1) goes in the response to this heartbeat; counting it as lost would
             # leave the machine idle.
             return is_unsolicited and 0 <= attempt.response_sequence < heartbeat.sequence
-        return True
+        # The start, or a copy of it, may be delayed in the network; a worker that has seen this token or a
+        # higher one rejects it.
+        void_at = attempt.void_at_fencing_token
+        return void_at is not None and heartbeat.fencing_token >= void_at
 
     def _handle_command_response(
         self,
--- a/src/poppyhold/model/entities.py
+++ b/src/poppyhold/model/entities.py
@@ -83,8 +83,8 @@
     response_sequence: int = -1
     # Whether a direct start was queued or sent, and its outcome is not known yet.
     start_in_flight: bool = False
-    # Set if a direct start's outcome is unknown: the start may still be executed until the worker has seen
-    # this fencing token or a higher one.
+    # Set if it is unknown whether a direct start was executed, or if its worker ignored it: it may still be
+    # executed until the worker has seen this fencing token or a higher one.
     void_at_fencing_token: int | None = None
     # When a heartbeat first showed the task running.
     running_at: float | None = None
@@ -101,6 +101,16 @@
         """The task's name."""
         return task_name(self.job.id, self.index)
 
+    @property
+    def direct_start_was_answered(self) -> bool:
+        """Whether its worker answered the request with its start, and no heartbeat has shown it yet."""
+        return (
+            self.status == TaskState.SENT
+            and self.start_channel is StartChannel.DIRECT
+            and not self.start_in_flight
+            and self.void_at_fencing_token is None
+        )
+
     def start_may_follow_response(self, fencing_token: int) -> bool:
         """Whether a direct start of it may be executed after a response that carries this fencing token."""
         return self.status == TaskState.SENT and (
--- a/tests/test_reconciliation_proofs.py
+++ b/tests/test_reconciliation_proofs.py
@@ -129,7 +129,9 @@
             False,
             id="not-by-a-heartbeat-response",
         ),
-        pytest.param({"start_channel": StartChannel.DIRECT}, True, True, id="command-was-delivered"),
+        pytest.param(
+            {"start_channel": StartChannel.DIRECT}, True, False, id="answered-but-a-copy-may-be-executed"
+        ),
     ],
 )
 def test_when_a_heartbeat_without_an_attempt_proves_that_it_has_terminated(
--- a/tests/test_start_fencing.py
+++ b/tests/test_start_fencing.py
@@ -1,4 +1,4 @@
-"""When a worker may forget an exit, and that no repeated start has an effect."""
+"""When a worker may forget an exit, and when a start that it ignored counts as void."""
 
 from __future__ import annotations
 
@@ -110,6 +110,41 @@
     assert harness.fencing.fencing_token(harness.machine) == harness.worker.fencing_token
 
 
+# Guards against a start that was answered and ignored, and executed later while the task runs elsewhere.
+def test_an_ignored_start_counts_as_terminated_only_once_a_higher_token_voids_it(
+    harness: FencingHarness,
+) -> None:
+    worker, machine, job = harness.worker, harness.machine, harness.attempt.job
+    sent: list[dict[str, Any]] = []
+    harness.term.send_commands = lambda *request: sent.append(request[2])  # type: ignore[method-assign]
+    worker.tasks[TASK].update(status="ended", cause="stopped", until=None)
+    heartbeat = parse_heartbeat(worker.heartbeat())
+    answer = harness.term.controller.handle_heartbeat(heartbeat)
+    assert answer is not None
+    assert [command.kind for command in answer.commands] == [CommandKind.FORGET]
+    # The task is started there again, and the request overtakes the answer: the worker still lists the exit.
+    harness.world.run(harness.world.now + 0.2)
+    (start,) = [request for request in sent if request["orders"]]
+    sent.clear()
+    status, report = worker.handle_command(start)
+    assert (status, worker.on_machine()) == (200, [])
+    worker.handle_response(answer.body(), harness.world.now, heartbeat.incarnation)
+    assert worker.tasks == {}
+    # Now a copy of the start would be executed, so the task may not go on elsewhere yet.
+    started = list(machine.attempts.values())
+    response = parse_heartbeat(report)
+    harness.reconciler._handle_command_response(machine, started, RequestOutcome.OK, response)
+    assert job.active == {0: started[0]}
+    assert machine.unschedulable_until > harness.world.now
+    # A request brings a higher token at once, and its response proves that the start is void.
+    harness.reconciler.lifecycle.commands.send_queued()
+    assert [request["orders"] for request in sent] == [[]]
+    _, report = worker.handle_command(sent[0])
+    assert worker.handle_command(start)[0] == 409
+    harness.reconciler._handle_command_response(machine, [], RequestOutcome.OK, parse_heartbeat(report))
+    assert job.active == {}
+
+
 EVENTS = ("crash leader for 2", "freeze leader for 3", "deliver_repeats", "crash all for 1")
 
 
