Whether tasks may be started is derived from the grant; the simulated node is split by concern

`OutboundPort.may_start_tasks` was a second form of `start_grant`, implemented twice; `Context.may_start_tasks` derives it. tests/sim_node.py held the state client, the leader term and the node, 672 lines; each has a file. Behaviour is unchanged.

--- a/src/poppyhold/cluster/election.py
+++ b/src/poppyhold/cluster/election.py
@@ -230,7 +230,7 @@
         except (StoreRejectedError, OutcomeUnknownError) as error:
             # This controller can't tell an outage from a rejection of its requests alone: the term continues
             # until the key changes or the lease is found expired. Meanwhile `RenewalAuthority` bounds the
-            # renewals of workers' leases, and `OutboundPort.may_start_tasks` the starts of tasks.
+            # renewals of workers' leases, and its grants the starts of tasks.
             log.debug("lease not renewed: lease=%d: %s", term.lease_id, error)
             return self._renewal_interval_s / 2
         if self.term is term or (self.term is not None and self.term.lease_id == term.lease_id):
--- a/src/poppyhold/machines/deletions.py
+++ b/src/poppyhold/machines/deletions.py
@@ -46,7 +46,7 @@
             )
         self._unlogged.clear()
         # Without confirmed leadership nothing is deleted: silent workers may follow the next leader.
-        if self._in_flight or not self._ctx.outbound.may_start_tasks():
+        if self._in_flight or not self._ctx.may_start_tasks():
             return
         names = [machine.name for machine in self._ctx.fleet.machines.values() if machine.deleting]
         names = names[:MAX_MACHINES_PER_DELETION]
--- a/src/poppyhold/model/context.py
+++ b/src/poppyhold/model/context.py
@@ -12,6 +12,7 @@
 from poppyhold.model.durations import Durations
 from poppyhold.model.fleet import Fleet
 from poppyhold.model.outbound import OutboundPort
+from poppyhold.model.start_grant import StartGrant
 from poppyhold.options import Options
 from poppyhold.settings import Settings
 from poppyhold.wire.cloud_messages import MachineType
@@ -59,6 +60,10 @@
     # Count of numbers issued in this term. Written by `next_unique_number` alone.
     numbers_issued: int = 0
 
+    def may_start_tasks(self) -> bool:
+        """Whether this leadership was confirmed recently enough to start tasks."""
+        return isinstance(self.outbound.start_grant(), StartGrant)
+
     def next_unique_number(self) -> int:
         """Return a number that no other attempt or launch of any term has."""
         self.numbers_issued += 1
--- a/src/poppyhold/model/outbound.py
+++ b/src/poppyhold/model/outbound.py
@@ -92,9 +92,6 @@
     def misdirected_workers(self) -> list[list[MisdirectedWorker]]:
         """Return the workers that recently sent heartbeats to other controllers, a list per controller."""
 
-    def may_start_tasks(self) -> bool:
-        """Whether this leadership was confirmed recently enough to start tasks."""
-
     def start_grant(self) -> StartGrant | StartRefusal:
         """Grant the sending of starts to workers, or say why they are refused."""
 
--- a/src/poppyhold/node/outbound_adapter.py
+++ b/src/poppyhold/node/outbound_adapter.py
@@ -119,10 +119,6 @@
         """See `OutboundPort`."""
         return [view.misdirected_workers for view in self._peers.views.values()]
 
-    def may_start_tasks(self) -> bool:
-        """See `OutboundPort`."""
-        return isinstance(self.start_grant(), StartGrant)
-
     def start_grant(self) -> StartGrant | StartRefusal:
         """See `OutboundPort`."""
         if not self._loop.alive:
--- a/src/poppyhold/node/scheduling_cycle.py
+++ b/src/poppyhold/node/scheduling_cycle.py
@@ -43,11 +43,7 @@
         """Run a cycle if something has changed and the pause after the last cycle is over."""
         ctx = self._ctx
         started_at = ctx.clock()
-        if (
-            not ctx.scheduling_needed
-            or started_at < self._next_cycle_at
-            or not ctx.outbound.may_start_tasks()
-        ):
+        if not ctx.scheduling_needed or started_at < self._next_cycle_at or not ctx.may_start_tasks():
             return
         ctx.scheduling_needed = False
         if self._guarantees_stale:
--- a/tests/cells_world.py
+++ b/tests/cells_world.py
@@ -19,7 +19,7 @@
 from poppyhold.quota.ledger import AllocationLedger
 from poppyhold.quota.messages import QuotaResponse, TransferRequest, TransferResponse
 from quota_model import sum_problems
-from sim_node import STEP_S, SimLeaderTerm
+from sim_leader_term import STEP_S, SimLeaderTerm
 
 if TYPE_CHECKING:
     from world import World
--- a/tests/sim_relay.py
+++ b/tests/sim_relay.py
@@ -14,7 +14,8 @@
 from poppyhold.wire.worker_messages import HeartbeatResponse, parse_heartbeat
 
 if TYPE_CHECKING:
-    from sim_node import SimLeaderTerm, SimNode
+    from sim_leader_term import SimLeaderTerm
+    from sim_node import SimNode
 
 Respond = Callable[[int, Data], None]
 _MOST = 1000
--- a/tests/test_cell_service.py
+++ b/tests/test_cell_service.py
@@ -20,7 +20,7 @@
 from poppyhold.scale.cells import CREDIT_LINE
 from poppyhold.scheduling.quotas import Quotas
 from poppyhold.settings import Team
-from sim_node import SimLeaderTerm
+from sim_leader_term import SimLeaderTerm
 from world import World
 
 CONTROLLERS = (CellController("hive-0", "127.0.0.1:1"),)
--- a/tests/test_fault_combinations.py
+++ b/tests/test_fault_combinations.py
@@ -17,7 +17,7 @@
 from poppyhold.settings import Team
 from poppyhold.wire.codec import encode
 from poppyhold.wire.worker_messages import parse_heartbeat
-from sim_node import SimLeaderTerm
+from sim_leader_term import SimLeaderTerm
 from test_reconciliation import leading_world
 from test_store import UnreliableStore
 from world import World
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -18,7 +18,7 @@
 from poppyhold.node.job_states import JobStates
 from poppyhold.scale.controller_logs import violated_invariants
 from poppyhold.wire.worker_messages import Command, CommandKind, Heartbeat, TaskState, parse_heartbeat
-from sim_node import SimLeaderTerm
+from sim_leader_term import SimLeaderTerm
 from test_reconciliation import leading_world
 from world import World
 
--- a/tests/test_reconciliation.py
+++ b/tests/test_reconciliation.py
@@ -7,7 +7,7 @@
 from poppyhold.scale.jobs import submission
 from poppyhold.settings import Team
 from poppyhold.wire.worker_messages import Command, CommandKind
-from sim_node import SimLeaderTerm
+from sim_leader_term import SimLeaderTerm
 from world import World
 
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -33,7 +33,7 @@
 from poppyhold.scale.jobs import submission
 from poppyhold.scale.state_standin import StateStandIn
 from poppyhold.settings import Team
-from sim_node import SimLeaderTerm
+from sim_leader_term import SimLeaderTerm
 from world import World
 
 Data = dict[str, Any]
--- a/tests/world.py
+++ b/tests/world.py
@@ -34,7 +34,8 @@
 from poppyhold.settings import Deployment as DeploymentSettings
 from poppyhold.wire.codec import encode
 from poppyhold.wire.http_server import HttpResponse, http_response
-from sim_node import STEP_S, SimNode
+from sim_leader_term import STEP_S
+from sim_node import SimNode
 
 # Users poll every _POLL_TICKS steps, at the steps whose remainder is _POLL_PHASE.
 _POLL_TICKS, _POLL_PHASE = 40, 7
