--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import random
 import shlex
@@ -38,6 +39,7 @@
 _LIMIT_S = 117.0
 # What a worker waits for the answer to a report, and the shortest time between two reports.
 _REPORT_TIMEOUT_S, _REPORT_GAP_S = 4.0, 0.5
+GANG_PEER_S = 6.0
 
 # The deployment of Tan Brothers, with one controller's settings; the machine types are theirs too.
 SETTINGS = """
@@ -297,6 +299,7 @@
         ports = free_ports(2 * count)
         self.clients, self.backs = ports[:count], ports[count:]
         threading.Thread(target=self._record_listings, daemon=True).start()
+        threading.Thread(target=self._run_gangs, daemon=True).start()
         # Whether rented machines come up, after the time that their type names.
         self.boots = True
         # What the settings say of the state service.
@@ -346,6 +349,40 @@
                 self.cloud.record_listing()
             time.sleep(0.5)
 
+    def _run_gangs(self) -> None:
+        """Let the tasks of a gang start together; they notice the loss of one, and all end for it."""
+        started: dict[tuple[str, int], float | None] = {}
+        while True:
+            time.sleep(0.1)
+            with contextlib.ExitStack() as stack:
+                workers = list(self.workers.values())
+                workers.sort(key=lambda worker: worker.name)
+                for worker in workers:
+                    stack.enter_context(worker.lock)
+                members: dict[tuple[str, int], list[Data]] = {}
+                for worker in workers:
+                    for task in worker.machine.tasks.values():
+                        if "job" in task and task["job"]["shape"] == "group" and task["status"] != "ended":
+                            members.setdefault((task["job"]["nameId"], task["try"]), []).append(task)
+                for key, tasks in members.items():
+                    self._step_gang(started, key, tasks)
+
+    def _step_gang(
+        self, started: dict[tuple[str, int], float | None], key: tuple[str, int], tasks: list[Data]
+    ) -> None:
+        now, spec = time.monotonic(), tasks[0]["job"]
+        if key not in started:
+            if len(tasks) == spec["chores"] and all(task["status"] == "waiting" for task in tasks):
+                started[key] = None
+                for task in tasks:
+                    task.update(status="running", until=now + spec["runs"])
+        elif len(tasks) < spec["chores"]:
+            # When the loss was noticed first.
+            lost_at = started[key] = started[key] or now
+            if now - lost_at > GANG_PEER_S:
+                for task in tasks:
+                    task.update(status="ended", cause="mates_gone", until=None)
+
     def _boot(self, name: str, machine: Data) -> None:
         kind = next(each for each in self.cloud.machine_types if each["name"] == machine["build"])
         if time.monotonic() - machine["at"] < kind["startupS"]:
