--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -116,7 +116,7 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return free ports of the loopback address, below those that the system gives to stand-ins and clients."""
+    """Return free ports of the loopback address, below those that the system gives out by itself."""
     found: list[int] = []
     chance = random.SystemRandom()
     while len(found) < count:
