A refused body is logged with the machine that sent it and its size

Nothing told a refused heartbeat from a lost one. Change: a warning with path, machine, client, size and limit. The machine is read from the beginning of the body.

--- a/src/poppyhold/wire/http_server.py
+++ b/src/poppyhold/wire/http_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
 import http.server
 import logging
@@ -14,8 +15,10 @@
 from http import HTTPStatus
 from typing import Any, NamedTuple
 
+from poppyhold.wire import field_names
 from poppyhold.wire.codec import MAX_BODY_BYTES, encode
 from poppyhold.wire.http_fields import read_fields
+from poppyhold.wire.partial_body import text_field
 
 log = logging.getLogger(__name__)
 
@@ -40,6 +43,8 @@
 _REQUEST_LINE_PARTS = 3
 # A connection on which nothing arrives for this multiple of `worker_protection_s` is closed as abandoned.
 _IDLE_TIMEOUT_RATIO = 4
+# How much of a refused body is read to name its sender in the log, and for how long it is waited for.
+_BEGINNING_BYTES, _BEGINNING_TIMEOUT_S = 1024, 0.2
 
 
 def http_response(status: int, body: dict[str, Any] | None = None, **headers: str) -> HttpResponse:
@@ -118,10 +123,11 @@
             length = -1
         if length < 0 or length > MAX_BODY_BYTES or self.fields.get("transfer-encoding"):
             self.close_connection = True
-            status = (
-                HTTPStatus.REQUEST_ENTITY_TOO_LARGE if length > MAX_BODY_BYTES else HTTPStatus.BAD_REQUEST
-            )
+            is_too_large = length > MAX_BODY_BYTES
+            status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE if is_too_large else HTTPStatus.BAD_REQUEST
             self.wfile.write(self._encode(http_response(status, {"error": "body"})))
+            if is_too_large:
+                self._log_too_large(length)
             return None
         body = self.rfile.read(length) if length else b""
         if len(body) < length:
@@ -129,6 +135,21 @@
             return None
         return body
 
+    def _log_too_large(self, length: int) -> None:
+        """Log a body that is refused for its size, with the machine whose heartbeat it is."""
+        self.connection.settimeout(_BEGINNING_TIMEOUT_S)
+        beginning = b""
+        with contextlib.suppress(OSError):
+            beginning = self.rfile.read1(_BEGINNING_BYTES)
+        log.warning(
+            "request refused, body too large: path=%s machine=%s client=%s bytes=%d limit=%d",
+            self.path,
+            text_field(beginning, field_names.MACHINE),
+            self.address_string(),
+            length,
+            MAX_BODY_BYTES,
+        )
+
     def _await_response(self, deferred: DeferredResponse) -> None:
         """Wait for a deferred response before the connection is closed."""
         sent = threading.Event()
