A machine takes no more tasks than its heartbeat can list

Every heartbeat is refused with 413, the leases end, and the worker kills all tasks, the critical replica of another team included; again and again.

Cause: what a heartbeat can list is a resource of the machine that nothing counted. Starts, plans, gangs, preemption, relocation and the autoscaler compare cpus, accelerators and memory only.

Change: the bytes of the heartbeat are a fourth resource (wire.message_limits, model.resources): all of these go by it, as they share the arithmetic of resources. A task takes what its largest entry takes in JSON form: its job's longest name, the digits of the term's attempts, the longest state and cause, fields as null. Exits that the worker has not forgotten, and unknown tasks, take what they take in the newest heartbeat. A thirty-second of the room is kept for starts that preempt, as a stopped task stays listed for a while. It has no price and no part in scores, so nothing changes where it doesn't bind. A response holds what fits, stops first; one that can't hold all stops of cancelled or unknown tasks renews no lease, and direct commands carry them. A machine above the limit (an earlier version filled it) is heard, up to 512 KiB, and the tasks of the lowest priority that are too many are stopped. Starts are checked once more as they leave (invariant "start fits heartbeat").

Tests that build resources by hand name the fourth one; nothing else in them changes.

--- a/src/poppyhold/execution/direct_commands.py
+++ b/src/poppyhold/execution/direct_commands.py
@@ -5,7 +5,7 @@
 import logging
 from collections.abc import Callable
 
-from poppyhold.execution.invariant_checks import record_start_of_finalized_job
+from poppyhold.execution.invariant_checks import record_start_of_finalized_job, start_fits_heartbeat
 from poppyhold.execution.start_fencing import StartFencing
 from poppyhold.model.context import Context
 from poppyhold.model.entities import Attempt, JobPhase, Machine
@@ -177,6 +177,9 @@
             record_start_of_finalized_job(attempt, self._fencing.fencing_token(machine))
             self._on_start_discarded(attempt)
             return False
+        if not start_fits_heartbeat(attempt, self._fencing.fencing_token(machine)):
+            self._on_start_discarded(attempt)
+            return False
         return True
 
     def discard(self, machine: Machine) -> None:
--- a/src/poppyhold/execution/invariant_checks.py
+++ b/src/poppyhold/execution/invariant_checks.py
@@ -23,6 +23,18 @@
     return False
 
 
+def start_fits_heartbeat(attempt: Attempt, fencing_token: int) -> bool:
+    """Whether a machine's heartbeat can list all its tasks with a start; if not, a violation is recorded.
+
+    The attempt is one of the machine's already. A heartbeat above the limit on bodies would be refused, and
+    all tasks of the machine would end with its lease.
+    """
+    if attempt.machine.unlisted_bytes >= 0:
+        return True
+    _record(Invariant.START_FITS_HEARTBEAT, attempt, fencing_token)
+    return False
+
+
 def without_premature_forgets(machine: Machine, fencing_token: int, commands: list[Command]) -> list[Command]:
     """Return the commands of a response; without those to forget, if its token would not void all starts.
 
--- a/src/poppyhold/execution/reconciliation.py
+++ b/src/poppyhold/execution/reconciliation.py
@@ -8,6 +8,7 @@
 from poppyhold.execution.attempt_lifecycle import AttemptLifecycle
 from poppyhold.execution.failures import FailureTracker
 from poppyhold.execution.heartbeat_commands import HeartbeatCommands
+from poppyhold.execution.heartbeat_limit import excess_attempts
 from poppyhold.execution.invariant_checks import has_stop, without_premature_forgets
 from poppyhold.execution.lease_expiry import LeaseExpiry
 from poppyhold.execution.machine_records import request_machine_record
@@ -16,13 +17,19 @@
 from poppyhold.model.context import Context
 from poppyhold.model.entities import Attempt, Job, JobPhase, Machine, StartChannel
 from poppyhold.model.outcome import RequestOutcome
-from poppyhold.wire.worker_messages import Heartbeat, HeartbeatResponse, TaskState
+from poppyhold.model.resources import HEARTBEAT_BYTES
+from poppyhold.wire.message_limits import commands_that_fit, entry_bytes
+from poppyhold.wire.worker_messages import Command, Heartbeat, HeartbeatResponse, TaskState
 
 log = logging.getLogger(__name__)
 
 # Bound once: it is compared for every attempt of every heartbeat.
 _FINALIZED = JobPhase.FINALIZED
 
+# Where no more than this is free of what a machine's heartbeat can list, starts may wait for exits to be
+# forgotten. Elsewhere a scheduling cycle for that would find nothing new.
+_NEARLY_FULL_BYTES = 4096
+
 
 class AttemptReconciler:
     """Updates the tasks of every machine from its newest heartbeat only; older ones get a response."""
@@ -84,14 +91,33 @@
             self._apply_heartbeat(machine, heartbeat, now, is_unsolicited=True)
         if not self._may_renew_lease(machine, now):
             return None
-        machine.last_answered_at = now
+        return self._respond(machine, heartbeat, is_applied, now)
+
+    def _respond(
+        self, machine: Machine, heartbeat: Heartbeat, is_applied: bool, now: float
+    ) -> HeartbeatResponse | None:
+        """Return the response that renews the machine's lease; None if it can't hold all stops it needs."""
         if is_applied:
-            commands = self._heartbeat_commands.commands_for_new_heartbeat(machine, heartbeat, now)
+            due = self._heartbeat_commands.commands_for_new_heartbeat(machine, heartbeat, now)
         else:
-            commands = self._heartbeat_commands.stop_commands(machine, heartbeat, now)
+            due = self._heartbeat_commands.stop_commands(machine, heartbeat, now)
+        commands = commands_that_fit(due.required + due.others)
+        if len(commands) < len(due.required):
+            self._stop_directly(machine, due.required)
+            return None
+        machine.last_answered_at = now
         fencing_token = self.fencing.fencing_token(machine)
         return HeartbeatResponse(fencing_token, without_premature_forgets(machine, fencing_token, commands))
 
+    def _stop_directly(self, machine: Machine, stops: list[Command]) -> None:
+        """Stop tasks of a machine above the limit, whose stops are too many for one response.
+
+        A response without all of them would renew the lease of the others. Direct commands don't.
+        """
+        log.info("lease not renewed, too many tasks to stop: machine=%s stops=%d", machine.name, len(stops))
+        queued = set(machine.queued_commands)
+        self.lifecycle.commands.enqueue(machine, *(stop for stop in stops if stop not in queued))
+
     @staticmethod
     def _is_newer(heartbeat: Heartbeat, machine: Machine) -> bool:
         """Whether a heartbeat is newer than all applied before; duplicates and late ones are not."""
@@ -178,17 +204,32 @@
             machine.preemption_notice_at = now
             ctx.scheduling_needed = True
         present: set[str] = set()
+        unrecorded_bytes = 0
         for task in heartbeat.tasks:
             if task.status == TaskState.EXITED:
+                unrecorded_bytes += entry_bytes(task)
                 self._task_observer.handle_exit(machine, task, now)
             else:
                 present.add(task.task)
                 self._observe_task(machine, task, now)
+        if machine.unknown_tasks:
+            unrecorded_bytes += sum(
+                entry_bytes(task) for task in heartbeat.tasks if task.task in machine.unknown_tasks
+            )
+        self._record_unrecorded_bytes(machine, unrecorded_bytes)
         for attempt in list(machine.attempts.values()):
             if attempt.name not in present:
                 self._handle_absence(attempt, heartbeat, is_unsolicited, now)
+        for attempt in excess_attempts(machine, heartbeat):
+            self.lifecycle.stop(attempt, attempt.job.spec.save_s, now, direct=False)
         self.lease_expiry.unreconciled.discard(machine.name)
 
+    def _record_unrecorded_bytes(self, machine: Machine, count: int) -> None:
+        """Record how much listed tasks without an attempt take; less of it may allow starts."""
+        if count < machine.unrecorded_bytes and machine.free[HEARTBEAT_BYTES] < _NEARLY_FULL_BYTES:
+            self._ctx.scheduling_needed = True
+        machine.set_unrecorded_bytes(count)
+
     def _begin_incarnation(self, machine: Machine, incarnation: int, now: float) -> None:
         """Remove the attempts of earlier incarnations, as each incarnation begins with no tasks."""
         durations = self._ctx.durations
--- a/src/poppyhold/machines/arrivals.py
+++ b/src/poppyhold/machines/arrivals.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from poppyhold.machines.supply_and_demand import Demand
-from poppyhold.model.resources import ACCELERATORS, CPUS, Resources
+from poppyhold.model.resources import ACCELERATORS, CPUS, Resources, task_resources
 from poppyhold.wire.user_messages import Submission
 
 # Equal intervals into which the forecast's window is divided.
@@ -40,7 +40,7 @@
 
 
 def _kind_of(spec: Submission) -> _JobKind:
-    return _JobKind(spec.team, spec.job_class, (spec.cpus, spec.accelerators, spec.memory_gb))
+    return _JobKind(spec.team, spec.job_class, task_resources(spec))
 
 
 def _pooling_factor(deviations: list[float]) -> float:
--- a/src/poppyhold/machines/demand_estimate.py
+++ b/src/poppyhold/machines/demand_estimate.py
@@ -24,7 +24,7 @@
         if team not in self._remaining:
             self._remaining[team] = self._quotas.remaining(team, self._used_by_team.get(team, [0.0, 0.0]))
         cpus, accelerators = self._remaining[team]
-        allowed = max_copies(need, (cpus, accelerators, math.inf), tasks)
+        allowed = max_copies(need, (cpus, accelerators, math.inf, math.inf), tasks)
         self._remaining[team] = RemainingQuota(
             cpus - allowed * need[CPUS], accelerators - allowed * need[ACCELERATORS]
         )
--- a/src/poppyhold/machines/provisioning.py
+++ b/src/poppyhold/machines/provisioning.py
@@ -13,6 +13,7 @@
     ACCELERATORS,
     CPUS,
     EPSILON,
+    HEARTBEAT_BYTES,
     add_scaled,
     machine_type_capacity,
     max_copies,
@@ -66,7 +67,9 @@
         self.launches: dict[MachineKind, int] = {}
         self.machines_by_zone = Counter(slot.zone for slot in slots)
         # Machines of which no resource is free are left out.
-        self.index = CapacityIndex(slot for slot in slots if any(amount > EPSILON for amount in slot.free))
+        self.index = CapacityIndex(
+            slot for slot in slots if any(amount > EPSILON for amount in slot.free[:HEARTBEAT_BYTES])
+        )
 
     def add_launch(self, kind: MachineKind) -> CapacitySlot:
         """Plan the launch of one more machine; return its capacity."""
--- a/src/poppyhold/model/constraints.py
+++ b/src/poppyhold/model/constraints.py
@@ -4,14 +4,14 @@
 
 from collections.abc import Iterable
 
-from poppyhold.model.resources import fits, machine_type_capacity
+from poppyhold.model.resources import fits, machine_type_capacity, task_resources
 from poppyhold.wire.cloud_messages import MachineType
 from poppyhold.wire.user_messages import Submission
 
 
 def allowed_machine_types(spec: Submission, machine_types: Iterable[MachineType]) -> list[MachineType]:
     """Return the machine types that a task of a job may use and fits on."""
-    need = (spec.cpus, spec.accelerators, spec.memory_gb)
+    need = task_resources(spec)
     return [
         machine_type
         for machine_type in machine_types
--- a/src/poppyhold/model/context.py
+++ b/src/poppyhold/model/context.py
@@ -20,6 +20,9 @@
 # Machine -> its cached images and their sizes, least recently used first.
 ImageHints = dict[str, tuple[tuple[str, float], ...]]
 
+# The lower bits of a unique number count within the term, the higher ones are its fencing token.
+_NUMBER_BITS = 24
+
 
 class Context(msgspec.Struct, eq=False, kw_only=True):
     """Shared by the parts of one term's core; only the decision thread touches it.
@@ -64,7 +67,12 @@
         """Whether this leadership was confirmed recently enough to start tasks."""
         return isinstance(self.outbound.start_grant(), StartGrant)
 
+    @property
+    def attempt_digits(self) -> int:
+        """The number of digits that no attempt of this term or an earlier one exceeds."""
+        return len(str((self.term_fencing_token + 1) << _NUMBER_BITS))
+
     def next_unique_number(self) -> int:
         """Return a number that no other attempt or launch of any term has."""
         self.numbers_issued += 1
-        return (self.term_fencing_token << 24) + self.numbers_issued
+        return (self.term_fencing_token << _NUMBER_BITS) + self.numbers_issued
--- a/src/poppyhold/model/entities.py
+++ b/src/poppyhold/model/entities.py
@@ -10,8 +10,16 @@
 
 import msgspec
 
-from poppyhold.model.resources import NO_RESOURCES, Resources, add_scaled, machine_type_capacity
+from poppyhold.model.resources import (
+    HEARTBEAT_BYTES,
+    NO_RESOURCES,
+    Resources,
+    add_scaled,
+    machine_type_capacity,
+    task_resources,
+)
 from poppyhold.wire.cloud_messages import MachineType
+from poppyhold.wire.message_limits import MAX_ATTEMPT_DIGITS, MAX_ENTRIES_BYTES
 from poppyhold.wire.task_names import task_name
 from poppyhold.wire.user_messages import PRIORITIES, Submission
 from poppyhold.wire.worker_messages import IN_PROGRESS, Command, TaskState
@@ -344,6 +352,9 @@
     free: Resources = NO_RESOURCES
     # Breaks ties between machines with equal placement scores: the one known first is preferred.
     number: int = msgspec.field(default_factory=lambda: next(_machine_numbers))
+    # Bytes that tasks without a recorded attempt take in its newest heartbeat: those that have exited, until
+    # its worker has forgotten them, and unknown ones.
+    unrecorded_bytes: int = 0
     # Incremented when its attempts, their status or its images change.
     version: int = 0
     # Image -> size in GB, least recently used first: an estimate of the worker's cache.
@@ -364,11 +375,30 @@
         self.set_used(NO_RESOURCES)
 
     def set_used(self, used: Resources) -> None:
-        """Set the resources that may be in use, and the free ones."""
+        """Set the resources that may be in use by its attempts, and the free ones."""
         self.used = used
-        self.free = add_scaled(self.capacity, used, -1.0)
+        cpus, accelerators, memory_gb, heartbeat_bytes = add_scaled(self.capacity, used, -1.0)
+        self.free = (cpus, accelerators, memory_gb, heartbeat_bytes - self.unrecorded_bytes)
         self.version += 1
 
+    def set_unrecorded_bytes(self, count: int) -> None:
+        """Set the bytes of its heartbeat that tasks without a recorded attempt take."""
+        if count != self.unrecorded_bytes:
+            self.unrecorded_bytes = count
+            self.set_used(self.used)
+
+    @property
+    def unlisted_bytes(self) -> float:
+        """What its heartbeat can list beside all that it may list now; negative if that is too much already.
+
+        The rest of what starts without preemption may use is ``free``; tasks that are stopped stay listed.
+        """
+        return MAX_ENTRIES_BYTES - self.used[HEARTBEAT_BYTES] - self.unrecorded_bytes
+
+    def can_list(self, task: Resources) -> bool:
+        """Whether its heartbeat can list one more task that takes these resources."""
+        return task[HEARTBEAT_BYTES] <= self.unlisted_bytes
+
     def free_after_reservations(self, reserved: dict[str, Resources]) -> Resources:
         """Return its free resources without those reserved under its name."""
         own = reserved.get(self.name)
@@ -405,14 +435,16 @@
                 self.version += 1
 
 
-def make_job(spec: Submission, record_revision: int, at: float) -> Job:
-    """Build a job from its accepted submission."""
+def make_job(
+    spec: Submission, record_revision: int, at: float, attempt_digits: int = MAX_ATTEMPT_DIGITS
+) -> Job:
+    """Build a job from its accepted submission; its attempts have numbers of at most so many digits."""
     return Job(
         id=spec.name,
         spec=spec,
         record_revision=record_revision,
         submitted_at=at,
-        task_resources=(spec.cpus, spec.accelerators, spec.memory_gb),
+        task_resources=task_resources(spec, attempt_digits),
         priority=PRIORITIES.index(spec.priority),
         due_at=None if spec.deadline_s is None else at + spec.deadline_s,
         states=bytearray(spec.tasks),
--- a/src/poppyhold/model/invariants.py
+++ b/src/poppyhold/model/invariants.py
@@ -20,6 +20,7 @@
     NO_START_OF_FINALIZED_JOB = "no start of finalized job"
     RENEWAL_STOPS_FINALIZED_JOB = "renewal stops finalized job"
     FORGETTING_VOIDS_STARTS = "forgetting voids starts"
+    START_FITS_HEARTBEAT = "start fits heartbeat"
     FINAL_ANSWER_IS_DURABLE = "final answer is durable"
 
 
--- a/src/poppyhold/node/job_lifecycle.py
+++ b/src/poppyhold/node/job_lifecycle.py
@@ -53,7 +53,7 @@
             return None
         # The record holds the wall-clock time of the submission.
         age_s = max(0.0, self._ctx.wall_clock() - float(entry.data["at"]))
-        job = make_job(spec, entry.revision, self._ctx.clock() - age_s)
+        job = make_job(spec, entry.revision, self._ctx.clock() - age_s, self._ctx.attempt_digits)
         self._ctx.fleet.jobs[job.id] = job
         self._on_active_jobs_changed()
         self._ctx.scheduling_needed = True
--- a/src/poppyhold/node/submission_policy.py
+++ b/src/poppyhold/node/submission_policy.py
@@ -9,6 +9,7 @@
 from poppyhold.durable.changes import Data
 from poppyhold.durable.store import stored_bytes
 from poppyhold.model.constraints import allowed_machine_types
+from poppyhold.model.resources import task_resources
 from poppyhold.scheduling.quotas import Quotas
 from poppyhold.settings import Deployment
 from poppyhold.wire import field_names
@@ -29,7 +30,7 @@
             return "unknown team"
         # The tasks of an array can run one after another.
         tasks = 1 if spec.shape == "array" else spec.tasks
-        if not self._quotas.fits_limit(spec.team, (spec.cpus, spec.accelerators, spec.memory_gb), tasks):
+        if not self._quotas.fits_limit(spec.team, task_resources(spec), tasks):
             return "above the team's limit"
         if machine_types and not allowed_machine_types(spec, machine_types.values()):
             return "fits no machine type"
--- a/src/poppyhold/scheduling/gang_placement.py
+++ b/src/poppyhold/scheduling/gang_placement.py
@@ -12,6 +12,7 @@
 from poppyhold.model.resources import (
     ACCELERATORS,
     CPUS,
+    HEARTBEAT_BYTES,
     MEMORY_GB,
     NO_RESOURCES,
     Resources,
@@ -47,7 +48,7 @@
         if accelerators > 0:
             cpus = max(cpus, job.task_resources[CPUS] / accelerators)
             memory = max(memory, job.task_resources[MEMORY_GB] / accelerators)
-    return cpus, 0.0, memory
+    return cpus, 0.0, memory, 0.0
 
 
 class GangPreemption(msgspec.Struct, eq=False):
@@ -111,6 +112,7 @@
     ) -> GangPreemption | None:
         """Return preemption for up to ``max_tasks``, without needless victims; None if no task fits."""
         free = machine.free_after_reservations(reserved)
+        max_tasks = min(max_tasks, int(machine.unlisted_bytes // job.task_resources[HEARTBEAT_BYTES]))
         count = max_copies(job.task_resources, free, max_tasks)
         victims: list[Attempt] = []
         lost_s = 0.0
--- a/src/poppyhold/scheduling/placement.py
+++ b/src/poppyhold/scheduling/placement.py
@@ -14,6 +14,7 @@
     ACCELERATORS,
     CPUS,
     EPSILON,
+    HEARTBEAT_BYTES,
     NO_RESOURCES,
     Resources,
     add_scaled,
@@ -179,7 +180,10 @@
             (
                 (available - needed) / capacity
                 for available, needed, capacity in zip(
-                    free, job.task_resources, machine.capacity, strict=True
+                    free[:HEARTBEAT_BYTES],
+                    job.task_resources[:HEARTBEAT_BYTES],
+                    machine.capacity[:HEARTBEAT_BYTES],
+                    strict=True,
                 )
                 if capacity > 0 and needed > 0
             ),
@@ -243,7 +247,7 @@
         The worker receives the stops and the start together, so the limit holds throughout.
         """
         candidates = self._preemptible_by_machine(job).get(machine.name)
-        if candidates is None or not may_use(job, machine):
+        if candidates is None or not may_use(job, machine) or not machine.can_list(job.task_resources):
             return None
         victims = self._cached_victims(job, machine, candidates, excess)
         if victims is None:
--- a/src/poppyhold/scheduling/planner.py
+++ b/src/poppyhold/scheduling/planner.py
@@ -9,7 +9,7 @@
 
 from poppyhold.model.constraints import zone_limit
 from poppyhold.model.entities import Job
-from poppyhold.model.resources import ACCELERATORS, CPUS, MEMORY_GB, Resources, max_copies
+from poppyhold.model.resources import ACCELERATORS, CPUS, HEARTBEAT_BYTES, MEMORY_GB, Resources, max_copies
 from poppyhold.scheduling.ledger import EVERY_SLOT, Ledger, MachineBookings, MachineGroup
 from poppyhold.scheduling.pricing import Pricing, machine_shares, price_of
 
@@ -142,6 +142,7 @@
                 need[CPUS] * slot_fraction,
                 need[ACCELERATORS] * slot_fraction,
                 need[MEMORY_GB] * slot_fraction,
+                need[HEARTBEAT_BYTES] * slot_fraction,
             )
         group_offers: list[_GroupOffer] = []
         for group in groups:
--- a/src/poppyhold/scheduling/pricing.py
+++ b/src/poppyhold/scheduling/pricing.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 from poppyhold.model.entities import Job
-from poppyhold.model.resources import Resources
+from poppyhold.model.resources import ACCELERATORS, CPUS, MEMORY_GB, Resources
 from poppyhold.options import Design
 
+# The resources that have a price. The heartbeat has none: its size bounds plans, and costs nothing.
+_PRICED = (CPUS, ACCELERATORS, MEMORY_GB)
+
 
 class Pricing:
     """Prices P(g) = L * (U / L) ** (g / c) for g booked of capacity c, and values of jobs by their end."""
@@ -31,10 +34,10 @@
     def unit_prices(self, booked: Resources, capacity: Resources) -> Resources:
         """Return the unit price of each resource of a machine in a slot."""
         cpus, accelerators, memory = (
-            self.price(used, total) / total if total > 0 else 0.0
-            for used, total in zip(booked, capacity, strict=True)
+            self.price(booked[index], capacity[index]) / capacity[index] if capacity[index] > 0 else 0.0
+            for index in _PRICED
         )
-        return cpus, accelerators, memory
+        return cpus, accelerators, memory, 0.0
 
     def value(self, job: Job, shares: float, end_at: float, slot_s: float) -> float:
         """Return the value of ``shares`` machine shares for a job that ends at ``end_at``, less if late."""
@@ -52,6 +55,4 @@
 
 def machine_shares(need: Resources, capacity: Resources) -> float:
     """Return the shares of a machine's capacity that one task takes, summed over resources."""
-    return sum(
-        needed / total for needed, total in zip(need, capacity, strict=True) if needed > 0 and total > 0
-    )
+    return sum(need[index] / capacity[index] for index in _PRICED if need[index] > 0 and capacity[index] > 0)
--- a/src/poppyhold/scheduling/relocation.py
+++ b/src/poppyhold/scheduling/relocation.py
@@ -121,7 +121,12 @@
     @staticmethod
     def _could_start_on(job: Job, machine: Machine) -> bool:
         """Return whether a task of the job could start at once if the machine had free capacity."""
-        return job.spec.image in machine.images and may_use(job, machine) and zone_allows(job, machine.zone)
+        return (
+            job.spec.image in machine.images
+            and machine.can_list(job.task_resources)
+            and may_use(job, machine)
+            and zone_allows(job, machine.zone)
+        )
 
     @staticmethod
     def _targets(machines: Iterable[Machine], reserved: dict[str, Resources]) -> list[Machine]:
--- a/src/poppyhold/wire/codec.py
+++ b/src/poppyhold/wire/codec.py
@@ -7,7 +7,13 @@
 import cbor2
 import msgspec
 
+# The protocol's limit on requests, and on responses to workers and users; it counts the JSON form.
 MAX_BODY_BYTES = 64 * 1024
+# Heartbeats are accepted up to this size. A machine with too many tasks, started by an earlier version, would
+# otherwise lose its lease and all of them. A message between controllers can hold one of this size.
+MAX_ACCEPTED_HEARTBEAT_BYTES = 8 * MAX_BODY_BYTES
+# What a response repeats at most of the reason why a message is malformed.
+_MAX_REASON_CHARACTERS = 200
 
 T = TypeVar("T")
 
@@ -56,4 +62,5 @@
     try:
         return msgspec.convert(value, kind)
     except (msgspec.ValidationError, OverflowError, RecursionError, TypeError) as error:
-        raise MalformedError(str(error)) from error
+        # The text may repeat a value of the message, and is sent in the response.
+        raise MalformedError(str(error)[:_MAX_REASON_CHARACTERS]) from error
--- a/src/poppyhold/wire/frames.py
+++ b/src/poppyhold/wire/frames.py
@@ -11,7 +11,10 @@
 import msgspec
 
 _LENGTH = struct.Struct("!I")
-_MAX_MESSAGE_BYTES = 1 << 20
+MAX_MESSAGE_BYTES = 1 << 20
+# What entries of a message with many of them may take in JSON form. The rest is for other fields, and for
+# entries that are larger in MessagePack.
+MAX_MESSAGE_ENTRIES_BYTES = MAX_MESSAGE_BYTES // 2
 
 T = TypeVar("T")
 
@@ -66,7 +69,7 @@
 
     """
     size = _LENGTH.unpack(_receive_bytes(connection, _LENGTH.size))[0]
-    if size > _MAX_MESSAGE_BYTES:
+    if size > MAX_MESSAGE_BYTES:
         raise MalformedMessageError(f"message of {size} bytes exceeds the limit of 1 MiB")
     body = _receive_bytes(connection, size)
     try:
--- a/src/poppyhold/wire/http_server.py
+++ b/src/poppyhold/wire/http_server.py
@@ -16,7 +16,7 @@
 from typing import Any, NamedTuple
 
 from poppyhold.wire import field_names
-from poppyhold.wire.codec import MAX_BODY_BYTES, encode
+from poppyhold.wire.codec import MAX_ACCEPTED_HEARTBEAT_BYTES, MAX_BODY_BYTES, encode
 from poppyhold.wire.http_fields import read_fields
 from poppyhold.wire.partial_body import text_field
 
@@ -121,13 +121,14 @@
             length = int(self.fields.get("content-length") or 0)
         except ValueError:
             length = -1
-        if length < 0 or length > MAX_BODY_BYTES or self.fields.get("transfer-encoding"):
+        limit = MAX_ACCEPTED_HEARTBEAT_BYTES if self.path == _HEARTBEAT_PATH else MAX_BODY_BYTES
+        if length < 0 or length > limit or self.fields.get("transfer-encoding"):
             self.close_connection = True
-            is_too_large = length > MAX_BODY_BYTES
+            is_too_large = length > limit
             status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE if is_too_large else HTTPStatus.BAD_REQUEST
             self.wfile.write(self._encode(http_response(status, {"error": "body"})))
             if is_too_large:
-                self._log_too_large(length)
+                self._log_too_large(length, limit)
             return None
         body = self.rfile.read(length) if length else b""
         if len(body) < length:
@@ -135,7 +136,7 @@
             return None
         return body
 
-    def _log_too_large(self, length: int) -> None:
+    def _log_too_large(self, length: int, limit: int) -> None:
         """Log a body that is refused for its size, with the machine whose heartbeat it is."""
         self.connection.settimeout(_BEGINNING_TIMEOUT_S)
         beginning = b""
@@ -147,7 +148,7 @@
             text_field(beginning, field_names.MACHINE),
             self.address_string(),
             length,
-            MAX_BODY_BYTES,
+            limit,
         )
 
     def _await_response(self, deferred: DeferredResponse) -> None:
--- a/src/poppyhold/wire/task_names.py
+++ b/src/poppyhold/wire/task_names.py
@@ -5,6 +5,8 @@
 import re
 
 JOB_ID = re.compile(r"job-[0-9]{6,18}\Z", re.ASCII)
+# The most tasks that a job may have.
+MAX_TASKS = 100_000
 # Maximum number of digits of a task's index: enough for the largest jobs, of 100,000 tasks.
 _MAX_INDEX_DIGITS = 6
 
--- a/src/poppyhold/wire/user_messages.py
+++ b/src/poppyhold/wire/user_messages.py
@@ -9,13 +9,12 @@
 
 from poppyhold.wire import field_names as names
 from poppyhold.wire.codec import MalformedError, convert
-from poppyhold.wire.task_names import JOB_ID
+from poppyhold.wire.task_names import JOB_ID, MAX_TASKS
 
 PriorityName = Literal["critical", "high", "standard", "best_effort"]
 PRIORITIES: tuple[PriorityName, ...] = ("critical", "high", "standard", "best_effort")
 
 _MAX_TEXT_CHARACTERS = 200
-_MAX_TASKS = 100_000
 
 
 class Submission(msgspec.Struct, frozen=True, kw_only=True):
@@ -72,7 +71,7 @@
     job = convert(value, Submission)
     if not JOB_ID.match(job.name):
         raise MalformedError("nameId is not of the form job-000412")
-    if not 1 <= job.tasks <= _MAX_TASKS:
+    if not 1 <= job.tasks <= MAX_TASKS:
         raise MalformedError("chores must be within 1 and 100000")
     for attribute, encoded in _AMOUNTS:
         _check_amount(encoded, getattr(job, attribute))
--- a/tests/test_apportionment.py
+++ b/tests/test_apportionment.py
@@ -47,7 +47,7 @@
 
 def test_no_limit_and_a_zero_allocation_differ() -> None:
     quotas = Quotas([Team("free"), Team("bound", accelerators=2, accelerators_max=4)])
-    task = (1.0, 1.0, 1.0)
+    task = (1.0, 1.0, 1.0, 1.0)
     assert quotas.allows("free", (100.0, 100.0), task)
     total = total_allocation(Team("bound", accelerators=2, accelerators_max=4))
     quotas.set("bound", total.zeroed().quota(total))
@@ -55,7 +55,7 @@
     assert not quotas.has_guarantee("bound")
     assert not quotas.within_guarantee("bound", 1.0, 1.0)
     # CPUs have no limit: a task without accelerators is allowed.
-    assert quotas.allows("bound", (100.0, 0.0), (1.0, 0.0, 1.0))
+    assert quotas.allows("bound", (100.0, 0.0), (1.0, 0.0, 1.0, 1.0))
 
 
 def test_a_zero_guarantee_covers_no_accelerator() -> None:
--- a/tests/test_cell_service.py
+++ b/tests/test_cell_service.py
@@ -214,13 +214,13 @@
     controller = leader.leader_term.controller
     quota = quota_of(world)
     assert not quota.ledger.incarnation
-    assert not controller._quotas.allows("alpha", (0.0, 0.0), (1.0, 1.0, 1.0))
+    assert not controller._quotas.allows("alpha", (0.0, 0.0), (1.0, 1.0, 1.0, 1.0))
     answer = quota.handle_request(request(quota, unmet_demand(0, 1)))
     assert answer.rejection
     quota.handle_response(TransferResponse("west"))
     assert quota.requests() == {}
     world.run(6.0)
-    assert controller._quotas.allows("alpha", (0.0, 0.0), (1.0, 1.0, 1.0))
+    assert controller._quotas.allows("alpha", (0.0, 0.0), (1.0, 1.0, 1.0, 1.0))
     assert set(quota.requests()) == {"west"}
     # A leader that does not know its allocations yet raises no alarm.
     quota.handle_response(TransferResponse("west"))
@@ -285,11 +285,11 @@
     other = CellQuotaService(
         controller.ctx, cells, quotas, lambda: NO_RESOURCES, lambda spec: True, lambda: None
     )
-    assert not quotas.allows("alpha", (0.0, 0.0), (1.0, 1.0, 1.0))
+    assert not quotas.allows("alpha", (0.0, 0.0), (1.0, 1.0, 1.0, 1.0))
     other.load(entries)
-    assert not quotas.allows("alpha", (0.0, 0.0), (1.0, 1.0, 1.0))
+    assert not quotas.allows("alpha", (0.0, 0.0), (1.0, 1.0, 1.0, 1.0))
     other.tick()
-    assert not quotas.allows("alpha", (0.0, 0.0), (1.0, 1.0, 1.0))
+    assert not quotas.allows("alpha", (0.0, 0.0), (1.0, 1.0, 1.0, 1.0))
     assert other.requests() == {}
     assert len(other.alarms.texts()) == 1
     transfer_request = request(other, unmet_demand(0, 1))
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -75,7 +75,7 @@
     return set()
 
 
-def _no_resources(*_: object) -> tuple[float, float, float]:
+def _no_resources(*_: object) -> Resources:
     return NO_RESOURCES
 
 
@@ -267,6 +267,12 @@
 ]
 
 
+# What a machine's heartbeat can list.
+GUARDS += [
+    Guard("array_of_tiny_tasks", Machine, "set_unrecorded_bytes", _never),
+]
+
+
 @pytest.mark.parametrize("guard", GUARDS, ids=str)
 def test_scenario_fails_without_its_guard(guard: Guard, monkeypatch: pytest.MonkeyPatch) -> None:
     assert violations_without(guard, FOLDER, seeds=(1, 2, 3, 4), monkeypatch=monkeypatch) != []
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -318,7 +318,7 @@
 
 def _machine(name: str, zone: str, used: float) -> Machine:
     machine = Machine(name, LARGE, zone, False, 0.0)
-    machine.set_used((used, 0.0, 0.0))
+    machine.set_used((used, 0.0, 0.0, 0.0))
     return machine
 
 
@@ -339,7 +339,7 @@
     view.begin_cycle([machines[index] for index in sorted(present)], {})
     ranking = Ranking(view, score)
     for index, used, is_added in changes:
-        machines[index].set_used((float(used), 0.0, 0.0))
+        machines[index].set_used((float(used), 0.0, 0.0, 0.0))
         if is_added:
             present.add(index)
             view.refresh_machine(machines[index])
@@ -359,7 +359,7 @@
     view.begin_cycle([machine], {})
     ranking = Ranking(view, lambda m: m.free[0] if m.free[0] >= 4 else None)
     ranking.update()
-    machine.set_used((16.0, 0.0, 0.0))
+    machine.set_used((16.0, 0.0, 0.0, 0.0))
     # The ranking is outdated until the machine is refreshed in the view, as it is when a task starts on it.
     assert ranking.best({"a"}, set()) is not None
     view.refresh_machine(machine)
@@ -370,11 +370,11 @@
 def test_machines_are_grouped_by_their_current_bookings() -> None:
     ledger, rng = Ledger(8), random.Random(3)
     for number in range(60):
-        ledger.add_machine(f"vm-{number:06d}", (16.0, 2.0, 64.0), "ab"[number % 2], "large", False)
+        ledger.add_machine(f"vm-{number:06d}", (16.0, 2.0, 64.0, 100.0), "ab"[number % 2], "large", False)
     for step in range(200):
         name = f"vm-{rng.randrange(60):06d}"
         slot = ledger.current_slot + rng.randrange(4)
-        ledger.book(name, (1.0, 0.0, 1.0), slot, rng.choice([None, slot + 1]), rng.choice([1.0, -1.0]))
+        ledger.book(name, (1.0, 0.0, 1.0, 1.0), slot, rng.choice([None, slot + 1]), rng.choice([1.0, -1.0]))
         if step % 20 == 0:
             ledger.advance_to(ledger.current_slot + 1)
         if step % 33 == 0:
@@ -396,7 +396,7 @@
 ) -> None:
     def make_slots() -> list[CapacitySlot]:
         return [
-            CapacitySlot(None, LARGE, "ab"[index % 2], spot, (float(free), 2.0, 64.0))
+            CapacitySlot(None, LARGE, "ab"[index % 2], spot, (float(free), 2.0, 64.0, 100.0))
             for index, (free, spot) in enumerate(slots)
         ]
 
@@ -443,10 +443,10 @@
 def test_a_limit_on_a_resource_that_a_task_does_not_use_is_ignored() -> None:
     quotas = Quotas([Team("alpha", cpus_max=64.0, accelerators_max=8.0)])
     # Used accelerators exceed the limit, since those of unreconciled machines count against every team.
-    assert quotas.allows("alpha", (0.0, 4000.0), (1.0, 0.0, 1.0))
-    assert not quotas.allows("alpha", (0.0, 4000.0), (1.0, 1.0, 1.0))
-    assert not quotas.allows("alpha", (64.0, 0.0), (1.0, 0.0, 1.0))
-    assert quotas.allows("alpha", (63.0, 8.0), (1.0, 0.0, 1.0))
+    assert quotas.allows("alpha", (0.0, 4000.0), (1.0, 0.0, 1.0, 1.0))
+    assert not quotas.allows("alpha", (0.0, 4000.0), (1.0, 1.0, 1.0, 1.0))
+    assert not quotas.allows("alpha", (64.0, 0.0), (1.0, 0.0, 1.0, 1.0))
+    assert quotas.allows("alpha", (63.0, 8.0), (1.0, 0.0, 1.0, 1.0))
 
 
 def test_silent_workers_are_probed_at_a_limited_rate() -> None:
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -11,7 +11,7 @@
 from poppyhold.durable.changes import Entry
 from poppyhold.durable.keys import ACTIVE_JOB_PREFIX
 from poppyhold.model.entities import Job, make_job
-from poppyhold.model.resources import add_scaled, fits
+from poppyhold.model.resources import NO_RESOURCES, add_scaled, fits
 from poppyhold.options import Design
 from poppyhold.scale import jobs
 from poppyhold.scheduling.ledger import Ledger
@@ -32,7 +32,7 @@
     """A planner for machines of four accelerators each, alternating between two zones."""
     ledger = Ledger(horizon)
     for number in range(machines):
-        ledger.add_machine(f"m{number}", (16.0, 4.0, 64.0), "ab"[number % 2], "type", False)
+        ledger.add_machine(f"m{number}", (16.0, 4.0, 64.0, 100.0), "ab"[number % 2], "type", False)
     pricing = Pricing(Design())
     return Planner(pricing, ledger, SLOT_S, units), ledger, pricing
 
@@ -40,7 +40,7 @@
 def brute_force(job: Job, ledger: Ledger, pricing: Pricing, estimate_s: float) -> float | None:
     """The best payoff over every way to start the tasks, one slot and machine each."""
     part = estimate_s / SLOT_S
-    need = (job.task_resources[0] * part, job.task_resources[1] * part, job.task_resources[2] * part)
+    need = add_scaled(NO_RESOURCES, job.task_resources, part)
     places = [(slot, name) for slot in range(ledger.horizon_slots) for name in ledger.machines]
     best: float | None = None
     for chosen in itertools.combinations_with_replacement(places, job.spec.tasks):
@@ -54,7 +54,7 @@
         else:
             last = max(slot for slot, _ in chosen)
             end_at = estimate_s if last == 0 else (last + 1) * SLOT_S
-            shares = machine_shares(job.task_resources, (16.0, 4.0, 64.0)) * job.spec.tasks * part
+            shares = machine_shares(job.task_resources, (16.0, 4.0, 64.0, 100.0)) * job.spec.tasks * part
             payoff = pricing.value(job, shares, end_at, SLOT_S) - cost
             best = payoff if best is None else max(best, payoff)
     return best
@@ -66,7 +66,7 @@
     planner, ledger, pricing = make_planner(horizon=3, machines=2)
     for name in ledger.machines:
         for slot in range(3):
-            ledger.book(name, (4.0, 1.0, 10.0), slot, slot, rng.randrange(4))
+            ledger.book(name, (4.0, 1.0, 10.0, 1.0), slot, slot, rng.randrange(4))
     due = rng.choice([None, 30.0, 90.0, 150.0])
     job = make_job(submission(chores=rng.randrange(1, 4), dueS=due), 1, 0.0)
     estimate = rng.choice([30.0, 60.0])
@@ -89,14 +89,14 @@
 
 def test_full_machines_admit_nothing_and_nearly_full_ones_only_high_priority() -> None:
     planner, ledger, _ = make_planner(horizon=2, machines=1)
-    ledger.book("m0", (4.0, 1.0, 10.0), 0, 1, 3)
+    ledger.book("m0", (4.0, 1.0, 10.0, 1.0), 0, 1, 3)
     low = planner.plan(make_job(submission(rank="best_effort", chores=1), 1, 0.0), 1, 60.0, 0.0)
     high = planner.plan(make_job(submission(rank="critical", chores=1), 1, 0.0), 1, 60.0, 0.0)
     assert low is not None
     assert low.payoff < 0
     assert high is not None
     assert high.payoff > 0
-    ledger.book("m0", (4.0, 1.0, 10.0), 0, 1, 1)
+    ledger.book("m0", (4.0, 1.0, 10.0, 1.0), 0, 1, 1)
     assert planner.plan(make_job(submission(rank="critical", chores=1), 1, 0.0), 1, 60.0, 0.0) is None
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -12,6 +12,8 @@
 from enum import Enum
 from typing import NamedTuple
 
+import msgspec
+
 from gang_standin import GangStandIn
 from poppyhold.durable.keys import LEADER_KEY
 from poppyhold.options import Options, RelayMode
@@ -32,7 +34,7 @@
     WorkerTimings,
 )
 from poppyhold.settings import Deployment as DeploymentSettings
-from poppyhold.wire.codec import encode
+from poppyhold.wire.codec import MAX_BODY_BYTES, encode
 from poppyhold.wire.http_server import HttpResponse, http_response
 from sim_leader_term import STEP_S
 from sim_node import SimNode
@@ -61,6 +63,10 @@
     ON_REQUEST = "on_request"
 
 
+# Messages with fewer tasks or commands are far below the limit on bodies.
+_CHECKED_ENTRIES = 100
+
+
 class InFlight(NamedTuple):
     """A heartbeat whose worker waits for the response."""
 
@@ -139,6 +145,8 @@
         )
         self.workers: dict[str, SimWorker] = {}
         self.faults: dict[str, set[str]] = {}
+        # Machines whose heartbeats may be above the limit on bodies: an earlier version filled them.
+        self.overfilled: set[str] = set()
         self.gangs = GangStandIn(
             lambda: self.now,
             self.settings.deployment.workers.gang_peer_s,
@@ -322,6 +330,7 @@
         worker.busy_until = self.now + max(0.5, 2 * self.link_delay_s)
         node = self.nodes[worker.node]
         body, flight = worker.heartbeat(), InFlight(node, self.now, worker.incarnation)
+        self._check_size(worker, body, "chores")
         is_refused = node.lost_workers and not node.drops_heartbeats
         if not node.alive or is_refused or "drop_heartbeats" in faults:
             worker.node = (worker.node + 1) % 3
@@ -370,6 +379,7 @@
         elif "drop_inbound" in faults or "hold" in faults:
             worker.busy_until = self.now + 4.0
         elif status == 200:
+            self._check_size(worker, answer, "orders")
             if relayed and answer["baton"] < node.lowest_fencing_token():
                 self.violations.append(f"not_entitled: {node.member} answers for token {answer['baton']}")
             sent_at, shift = flight.sent_at, flight.incarnation
@@ -379,6 +389,18 @@
             worker.busy_until = self.now + (0.2 if member and member != node.member else 1.0)
             worker.node = self.members.index(member) if member else (worker.node + 1) % 3
 
+    def _check_size(self, worker: SimWorker, body: Data, entries: str) -> None:
+        """Check a worker's heartbeat, or a message to it, against the limit on bodies."""
+        if len(body[entries]) < _CHECKED_ENTRIES:
+            return
+        size = len(msgspec.json.encode(body))
+        self.work["large_messages"] += 1
+        is_exempt = entries == "chores" and worker.name in self.overfilled
+        if size > MAX_BODY_BYTES and not is_exempt:
+            self.violations.append(
+                f"too_large: {entries} of {worker.name} have {size} bytes at {self.now:.2f}"
+            )
+
     def leader_elected(self, node: SimNode) -> None:
         """Deliver the held duplicates to every running node, newest first."""
         held, self._held_duplicates = self._held_duplicates, []
@@ -399,6 +421,7 @@
 
     def deliver_command(self, worker: SimWorker, body: Data) -> Status:
         """Deliver a direct command; the network may deliver it again later if it was executed."""
+        self._check_size(worker, body, "orders")
         response = worker.handle_command(body)
         is_repeated = self.repeated_command_share and self.rng.random() < self.repeated_command_share
         if response[0] == 200 and is_repeated:
