Messages with many entries are filled by bytes, not by their number alone

The same cause on related paths, found by going through all messages and their limits: - relayed heartbeats: 64 of 64 KiB make 4 MiB, a message holds 1 MiB; the leader would close the connection each time. A batch takes full heartbeats by size; unchanged ones stay short; - responses to a batch: 64 of up to 64 KiB; they are split over several messages; - pings: image hints of machines with many or long names, and machines that a delegation excludes; pongs: misdirected workers.

--- a/src/poppyhold/cluster/peer_client.py
+++ b/src/poppyhold/cluster/peer_client.py
@@ -18,13 +18,15 @@
 from poppyhold.model.job_status import TaskCounts
 from poppyhold.model.outbound import MisdirectedWorker
 from poppyhold.settings import PeerController
-from poppyhold.wire.frames import open_connection, send_message
+from poppyhold.wire.frames import MAX_MESSAGE_ENTRIES_BYTES, open_connection, send_message
 
 log = logging.getLogger(__name__)
 
 # Largest numbers of entries per ping, as `wire.frames` limits the size of a message: a new connection begins
 # with every job and every machine. The rest is sent with the next pings, this many per interval.
 _MAX_TASK_COUNTS, _MAX_IMAGE_HINTS, _BATCHES_PER_INTERVAL = 4000, 1000, 8
+# The same in bytes: images and machines may have long names.
+_MAX_TASK_COUNT_BYTES, _MAX_IMAGE_HINT_BYTES = MAX_MESSAGE_ENTRIES_BYTES // 2, MAX_MESSAGE_ENTRIES_BYTES // 2
 
 
 class PeerTimes(NamedTuple):
@@ -81,8 +83,10 @@
 
     def _exchange(self, connection: socket.socket) -> None:
         """Send pings and handle their responses, until the connection breaks."""
-        counts: ChangeFeed[TaskCounts] = ChangeFeed(_MAX_TASK_COUNTS)
-        images: ChangeFeed[tuple[tuple[str, float], ...]] = ChangeFeed(_MAX_IMAGE_HINTS)
+        counts: ChangeFeed[TaskCounts] = ChangeFeed(_MAX_TASK_COUNTS, _MAX_TASK_COUNT_BYTES)
+        images: ChangeFeed[tuple[tuple[str, float], ...]] = ChangeFeed(
+            _MAX_IMAGE_HINTS, _MAX_IMAGE_HINT_BYTES
+        )
         interval_s = self._times.interval_s
         while not self._stop.is_set():
             changed_counts = [
--- a/src/poppyhold/durable/committer.py
+++ b/src/poppyhold/durable/committer.py
@@ -20,9 +20,11 @@
 )
 from poppyhold.durable.fenced_writer import FencedWriter
 from poppyhold.durable.keys import LEADER_KEY
-from poppyhold.durable.store import Store
+from poppyhold.durable.store import Store, transaction_body
 from poppyhold.model.outbound import CommitPriority
 from poppyhold.settings import Settings
+from poppyhold.wire.codec import MAX_BODY_BYTES
+from poppyhold.wire.message_limits import json_bytes
 
 log = logging.getLogger(__name__)
 
@@ -33,6 +35,8 @@
 _CONDITION_LIMIT_RATIO = 4
 # Conditions that `FencedWriter` adds to every transaction: on the leader's key and on the write fence.
 _LEADER_CONDITIONS = 2
+# The limit on a transaction, less what these conditions take.
+_MAX_TRANSACTION_BYTES = MAX_BODY_BYTES - 1024
 
 
 class CommitUnit(NamedTuple):
@@ -101,16 +105,19 @@
                 self._queue_changed.wait()
             units: list[CommitUnit] = []
             writes = conditions = 0
+            remaining_bytes = _MAX_TRANSACTION_BYTES
             keys: set[str] = set()
             while (queue := self._first_queue()) and not self._stopped:
                 unit = queue[0]
                 writes += len(unit.writes)
                 conditions += len(unit.conditions)
+                remaining_bytes -= json_bytes(transaction_body(unit.conditions, unit.writes))
                 unit_keys = {write.key for write in unit.writes}
                 if units and (
                     writes > self._max_writes
                     or conditions + _LEADER_CONDITIONS > _CONDITION_LIMIT_RATIO * self._max_writes
                     or len(units) >= _MAX_UNITS
+                    or remaining_bytes < 0
                     # The state service defines no order of two writes of the same key in a transaction.
                     or not keys.isdisjoint(unit_keys)
                 ):
--- a/src/poppyhold/node/cancellation_tracker.py
+++ b/src/poppyhold/node/cancellation_tracker.py
@@ -13,6 +13,11 @@
 from poppyhold.durable.keys import ACTIVE_JOB_PREFIX
 from poppyhold.node.controller import Controller
 from poppyhold.node.decision_loop import DecisionLoop
+from poppyhold.wire.frames import MAX_MESSAGE_ENTRIES_BYTES
+from poppyhold.wire.message_limits import json_bytes
+
+# The most that the machines which a delegation excludes may take of a ping.
+_MAX_EXCLUDED_BYTES = MAX_MESSAGE_ENTRIES_BYTES // 2
 
 
 class CancellationTracker:
@@ -77,7 +82,12 @@
         """Update the delegation that other controllers use when they can't reach this leader."""
         confirmed_at = min(self._authority.watch_caught_up_at, self._leadership_confirmed_at())
         excluded_machines = self._controller.excluded_machines()
-        if excluded_machines is None or confirmed_at == float("-inf"):
+        if (
+            excluded_machines is None
+            or confirmed_at == float("-inf")
+            # A ping has to name all of them, beside what else it carries.
+            or json_bytes(excluded_machines) > _MAX_EXCLUDED_BYTES
+        ):
             self.delegation = None
             return
         confirmed_wall_time = time.time() - (time.monotonic() - confirmed_at)
--- a/src/poppyhold/node/peer_handler.py
+++ b/src/poppyhold/node/peer_handler.py
@@ -17,6 +17,7 @@
 from poppyhold.model.context import ImageHints
 from poppyhold.model.durations import Durations
 from poppyhold.model.job_status import TaskCounts
+from poppyhold.model.outbound import MisdirectedWorker
 from poppyhold.node.leader_term import LeaderTerm
 from poppyhold.node.user_api import UserApi
 from poppyhold.options import Options
@@ -25,12 +26,16 @@
 from poppyhold.relay.forwarding import HeartbeatForwarder
 from poppyhold.relay.messages import RelayHello
 from poppyhold.settings import Settings
+from poppyhold.wire.frames import MAX_MESSAGE_ENTRIES_BYTES
+from poppyhold.wire.message_limits import newest_that_fit
 
 # Number of jobs whose task counts from leaders' pings are kept, per MB of the controller's memory limit.
 _TASK_COUNTS_PER_RAM_MB = 100
 # Minimum time between two revocations of a leader's lease for which a refused connection is the only reason,
 # in leases of workers.
 _REFUSAL_INTERVAL_LEASES = 6
+# The most that misdirected workers may take of a message; it also holds up to 10,000 cancellations.
+_MAX_MISDIRECTED_BYTES = MAX_MESSAGE_ENTRIES_BYTES // 2
 
 
 class NodePeerHandler:
@@ -136,7 +141,9 @@
         own = self.compose_ping()
         listed: list[Cancellation] = []
         unlisted_revision: int | None = None
-        misdirected = self._misdirected_workers.recent() if ping.leading else []
+        misdirected: list[MisdirectedWorker] = []
+        if ping.leading:
+            misdirected = newest_that_fit(self._misdirected_workers.recent(), _MAX_MISDIRECTED_BYTES)
         if ping.leading and ping.applied_revision >= 0:
             self._user_api.cancellations.acknowledge(ping.applied_revision)
             # Read again: the list lacks the acknowledged cancellations, and has those confirmed since `own`.
--- a/src/poppyhold/relay/batch_handler.py
+++ b/src/poppyhold/relay/batch_handler.py
@@ -4,12 +4,30 @@
 
 from collections.abc import Callable, Iterator
 
+import msgspec
+
 from poppyhold.relay.assignment import Assignment
 from poppyhold.relay.connected_relay import ConnectedRelay
 from poppyhold.relay.messages import HeartbeatBatch, RelayedResponse, RelayOutcome, ResponseBatch
+from poppyhold.wire.frames import MAX_MESSAGE_ENTRIES_BYTES
+from poppyhold.wire.message_limits import json_bytes
 from poppyhold.wire.worker_messages import Heartbeat, HeartbeatResponse
 
 
+def messages_for(batch: ResponseBatch) -> Iterator[ResponseBatch]:
+    """Split the responses to a batch so that each message stays within its limit; mostly it is one."""
+    responses: list[RelayedResponse] = []
+    remaining_bytes = MAX_MESSAGE_ENTRIES_BYTES
+    for response in batch.responses:
+        size = json_bytes(response)
+        if size > remaining_bytes and responses:
+            yield msgspec.structs.replace(batch, responses=responses)
+            responses, remaining_bytes = [], MAX_MESSAGE_ENTRIES_BYTES
+        responses.append(response)
+        remaining_bytes -= size
+    yield msgspec.structs.replace(batch, responses=responses)
+
+
 class BatchHandler:
     """Answers batches; used on the decision thread only."""
 
--- a/src/poppyhold/relay/queue.py
+++ b/src/poppyhold/relay/queue.py
@@ -20,6 +20,8 @@
     ResponseBatch,
     UnchangedHeartbeat,
 )
+from poppyhold.wire.frames import MAX_MESSAGE_ENTRIES_BYTES
+from poppyhold.wire.message_limits import json_bytes
 from poppyhold.wire.worker_messages import Heartbeat
 
 # Called once for each heartbeat: with the leader's response, or None if none that counts arrived in time.
@@ -79,36 +81,46 @@
         return True
 
     def next_batch(self, now: float, max_heartbeats: int, round_trip_s: float = 0.0) -> HeartbeatBatch:
-        """Take a batch of at most ``max_heartbeats`` unsent heartbeats.
+        """Take a batch of at most ``max_heartbeats`` unsent heartbeats, as many as fit into a message.
 
         It carries the shortest recent round trip of batches; 0 if none is known.
         """
         batch = HeartbeatBatch([], [], math.ceil(round_trip_s * 1000))
+        remaining_bytes = MAX_MESSAGE_ENTRIES_BYTES
         while self._unsent and len(batch.heartbeats) + len(batch.unchanged) < max_heartbeats:
-            pending = self._pending.get(self._unsent.popleft())
-            if pending is not None:
-                self._add(batch, pending, now)
+            pending = self._pending.get(self._unsent[0])
+            unchanged = self._unchanged(pending, now) if pending is not None else None
+            if unchanged is not None:
+                batch.unchanged.append(unchanged)
+            elif pending is not None:
+                remaining_bytes -= json_bytes(pending.heartbeat)
+                if remaining_bytes < 0 and batch.heartbeats:
+                    break
+                self._add_full(batch, pending, now)
+            self._unsent.popleft()
         return batch
 
-    def _add(self, batch: HeartbeatBatch, pending: PendingHeartbeat, now: float) -> None:
-        heartbeat, waited_ms = pending.heartbeat, int((now - pending.arrived_at) * 1000)
+    def _unchanged(self, pending: PendingHeartbeat, now: float) -> UnchangedHeartbeat | None:
+        """Return the short form of a heartbeat; None if it has to be sent in full."""
+        heartbeat = pending.heartbeat
         full = self._full.get(heartbeat.machine)
-        if full is not None and msgspec.structs.replace(heartbeat, sequence=full.sequence) == full:
-            batch.unchanged.append(
-                UnchangedHeartbeat(
-                    pending.number,
-                    waited_ms,
-                    heartbeat.machine,
-                    heartbeat.incarnation,
-                    heartbeat.sequence,
-                    full.sequence,
-                )
-            )
-            return
+        if full is None or msgspec.structs.replace(heartbeat, sequence=full.sequence) != full:
+            return None
+        return UnchangedHeartbeat(
+            pending.number,
+            _waited_ms(pending, now),
+            heartbeat.machine,
+            heartbeat.incarnation,
+            heartbeat.sequence,
+            full.sequence,
+        )
+
+    def _add_full(self, batch: HeartbeatBatch, pending: PendingHeartbeat, now: float) -> None:
+        heartbeat = pending.heartbeat
         if len(self._full) >= self._max_pending:
             self._full.pop(next(iter(self._full)))
         self._full[heartbeat.machine] = heartbeat
-        batch.heartbeats.append(FullHeartbeat(pending.number, waited_ms, heartbeat))
+        batch.heartbeats.append(FullHeartbeat(pending.number, _waited_ms(pending, now), heartbeat))
 
     def connection_lost(self) -> None:
         """Mark all pending heartbeats to be sent again, in full, on the next connection.
@@ -160,3 +172,7 @@
         self._unsent.clear()
         self._full.clear()
         return deliveries
+
+
+def _waited_ms(pending: PendingHeartbeat, now: float) -> int:
+    return int((now - pending.arrived_at) * 1000)
--- a/src/poppyhold/relay/server.py
+++ b/src/poppyhold/relay/server.py
@@ -11,7 +11,7 @@
 
 from poppyhold.concurrency.priority_queue import DECISIONS, HEARTBEATS, Work
 from poppyhold.relay.assignment import Assignment
-from poppyhold.relay.batch_handler import BatchHandler
+from poppyhold.relay.batch_handler import BatchHandler, messages_for
 from poppyhold.relay.connected_relay import ConnectedRelay
 from poppyhold.relay.messages import (
     HeartbeatBatch,
@@ -122,9 +122,10 @@
 
         def work() -> None:
             # Batches of a lost connection are dropped, as their responses can't be sent.
-            if relay.alive and not try_send_message(
-                connection, self._handler.handle(relay, batch, received_at)
-            ):
+            if not relay.alive:
+                return
+            messages = messages_for(self._handler.handle(relay, batch, received_at))
+            if not all(try_send_message(connection, message) for message in messages):
                 shut_down(connection)
 
         if not self._post(HEARTBEATS, work) and not try_send_message(connection, _rejected(batch)):
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -20,7 +20,12 @@
 from poppyhold.capacity import shortfalls
 from poppyhold.cli import main
 from poppyhold.cluster.change_feed import ChangeFeed
-from poppyhold.cluster.peer_client import _MAX_IMAGE_HINTS, _MAX_TASK_COUNTS
+from poppyhold.cluster.peer_client import (
+    _MAX_IMAGE_HINT_BYTES,
+    _MAX_IMAGE_HINTS,
+    _MAX_TASK_COUNT_BYTES,
+    _MAX_TASK_COUNTS,
+)
 from poppyhold.cluster.peer_messages import Ping, receive_peer_message
 from poppyhold.configuration_checks import ConfigError
 from poppyhold.durable.changes import Entry
@@ -105,8 +110,8 @@
         for number in range(MACHINES)
     }
     counts = {f"job-{number:06d}": (number, number) for number in range(26_000)}
-    image_feed: ChangeFeed[Any] = ChangeFeed(_MAX_IMAGE_HINTS)
-    count_feed: ChangeFeed[Any] = ChangeFeed(_MAX_TASK_COUNTS)
+    image_feed: ChangeFeed[Any] = ChangeFeed(_MAX_IMAGE_HINTS, _MAX_IMAGE_HINT_BYTES)
+    count_feed: ChangeFeed[Any] = ChangeFeed(_MAX_TASK_COUNTS, _MAX_TASK_COUNT_BYTES)
     received_images: dict[str, Any] = {}
     received_counts: dict[str, Any] = {}
     sender_socket, receiver_socket = socket.socketpair()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -263,13 +263,15 @@
         self.submit("first", ["first"])
         assert store.reached.wait(60.0)
 
-    def submit(self, name: str, keys: list[str], conditions: dict[str, int] | None = None) -> None:
+    def submit(
+        self, name: str, keys: list[str], conditions: dict[str, int] | None = None, data: Data | None = None
+    ) -> None:
         def done(result: bool) -> None:
             self.outcomes[name] = result
             self._finished.release()
 
         self.committer.submit(
-            CommitUnit(conditions or {}, [Put(PLAN_PREFIX + key, {}) for key in keys], done)
+            CommitUnit(conditions or {}, [Put(PLAN_PREFIX + key, data or {}) for key in keys], done)
         )
 
     def finish(self, units: int) -> None:
@@ -309,6 +311,18 @@
     assert [key for keys in store.transactions[1:] for key in keys] == [key for unit in units for key in unit]
 
 
+def test_units_with_large_values_share_no_transaction_above_the_limit() -> None:
+    # Guards against a transaction above 64 KiB, which is refused and then repeated unit by unit.
+    store = RecordingStore()
+    backlog = Backlog(store)
+    value = {"s": "x" * (8 * 1024 - 20)}
+    for name in "abcdefgh":
+        backlog.submit(name, [name], data=value)
+    backlog.finish(9)
+    assert all(backlog.outcomes.values())
+    assert [len(keys) for keys in store.transactions[1:]] == [7, 1]
+
+
 def test_a_unit_whose_condition_fails_does_not_fail_other_units() -> None:
     store = RecordingStore()
     backlog = Backlog(store)
