--- a/src/poppyhold/execution/heartbeat_limit.py
+++ b/src/poppyhold/execution/heartbeat_limit.py
@@ -18,13 +18,12 @@
 
 
 def excess_attempts(machine: Machine, heartbeat: Heartbeat) -> list[Attempt]:
-    """Return the attempts to stop so that a machine's heartbeats come within the limit; mostly none.
+    """Return the attempts to stop on a machine that may list more than the limit allows.
 
-    Those of the lowest priority are chosen, and of these the newest. Gangs are spared, as the end of one task
-    ends all of them.
+    None are stopped while its heartbeat is within the limit, as most entries are smaller than the largest.
+    Attempts of the lowest priority are chosen, and of these the newest. Gangs are spared, as the end of one
+    task ends all of them.
     """
-    if machine.unlisted_bytes >= 0:
-        return []
     size = json_bytes(heartbeat)
     if size <= MAX_BODY_BYTES:
         return []
--- a/src/poppyhold/execution/reconciliation.py
+++ b/src/poppyhold/execution/reconciliation.py
@@ -101,10 +101,12 @@
             due = self._heartbeat_commands.commands_for_new_heartbeat(machine, heartbeat, now)
         else:
             due = self._heartbeat_commands.stop_commands(machine, heartbeat, now)
-        commands = commands_that_fit(due.required + due.others)
-        if len(commands) < len(due.required):
-            self._stop_directly(machine, due.required)
-            return None
+        commands = due.required + due.others
+        if commands:
+            commands = commands_that_fit(commands)
+            if len(commands) < len(due.required):
+                self._stop_directly(machine, due.required)
+                return None
         machine.last_answered_at = now
         fencing_token = self.fencing.fencing_token(machine)
         return HeartbeatResponse(fencing_token, without_premature_forgets(machine, fencing_token, commands))
@@ -204,31 +206,39 @@
             machine.preemption_notice_at = now
             ctx.scheduling_needed = True
         present: set[str] = set()
-        unrecorded_bytes = 0
+        exited_bytes = 0
         for task in heartbeat.tasks:
             if task.status == TaskState.EXITED:
-                unrecorded_bytes += entry_bytes(task)
+                exited_bytes += entry_bytes(task)
                 self._task_observer.handle_exit(machine, task, now)
             else:
                 present.add(task.task)
                 self._observe_task(machine, task, now)
-        if machine.unknown_tasks:
-            unrecorded_bytes += sum(
-                entry_bytes(task) for task in heartbeat.tasks if task.task in machine.unknown_tasks
-            )
-        self._record_unrecorded_bytes(machine, unrecorded_bytes)
+        self._update_listed_bytes(machine, heartbeat, exited_bytes, now)
         for attempt in list(machine.attempts.values()):
             if attempt.name not in present:
                 self._handle_absence(attempt, heartbeat, is_unsolicited, now)
-        for attempt in excess_attempts(machine, heartbeat):
-            self.lifecycle.stop(attempt, attempt.job.spec.save_s, now, direct=False)
         self.lease_expiry.unreconciled.discard(machine.name)
 
-    def _record_unrecorded_bytes(self, machine: Machine, count: int) -> None:
-        """Record how much listed tasks without an attempt take; less of it may allow starts."""
-        if count < machine.unrecorded_bytes and machine.free[HEARTBEAT_BYTES] < _NEARLY_FULL_BYTES:
-            self._ctx.scheduling_needed = True
-        machine.set_unrecorded_bytes(count)
+    def _update_listed_bytes(
+        self, machine: Machine, heartbeat: Heartbeat, exited_bytes: int, now: float
+    ) -> None:
+        """Record what listed tasks without an attempt take, and stop attempts beyond what may be listed."""
+        unrecorded_bytes = exited_bytes
+        if machine.unknown_tasks:
+            unrecorded_bytes += sum(
+                entry_bytes(task) for task in heartbeat.tasks if task.task in machine.unknown_tasks
+            )
+        if unrecorded_bytes != machine.unrecorded_bytes:
+            if (
+                unrecorded_bytes < machine.unrecorded_bytes
+                and machine.free[HEARTBEAT_BYTES] < _NEARLY_FULL_BYTES
+            ):
+                self._ctx.scheduling_needed = True
+            machine.set_unrecorded_bytes(unrecorded_bytes)
+        if machine.unlisted_bytes < 0:
+            for attempt in excess_attempts(machine, heartbeat):
+                self.lifecycle.stop(attempt, attempt.job.spec.save_s, now, direct=False)
 
     def _begin_incarnation(self, machine: Machine, incarnation: int, now: float) -> None:
         """Remove the attempts of earlier incarnations, as each incarnation begins with no tasks."""
