Which machines a job may use is told in one place; it leaves the module of placement

The constraints on type, zone and kind stood three times (placement, planner, capacity index): model.constraints.allows_machine. Behaviour is unchanged.

--- a/src/poppyhold/machines/capacity_index.py
+++ b/src/poppyhold/machines/capacity_index.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from poppyhold.machines.supply_and_demand import CapacitySlot, Demand
+from poppyhold.model.constraints import allows_machine
 from poppyhold.model.resources import Resources, fits
 
 
@@ -43,12 +44,8 @@
 
 def allowed(demand: Demand, slot: CapacitySlot) -> bool:
     """Whether a demand's constraints allow a slot, whatever is free on it."""
-    spec = demand.spec
-    return (
-        demand.required_zone in (None, slot.zone)
-        and (spec.machine_types is None or slot.machine_type.name in spec.machine_types)
-        and (spec.zone is None or spec.zone == slot.zone)
-        and (spec.spot or not slot.spot)
+    return demand.required_zone in (None, slot.zone) and allows_machine(
+        demand.spec, slot.machine_type.name, slot.zone, slot.spot
     )
 
 
--- a/src/poppyhold/machines/consolidation.py
+++ b/src/poppyhold/machines/consolidation.py
@@ -11,7 +11,7 @@
 from poppyhold.model.context import Context
 from poppyhold.model.entities import Attempt, JobPhase, Machine
 from poppyhold.model.resources import Resources, add_scaled, fits
-from poppyhold.scheduling.placement import may_use
+from poppyhold.scheduling.eligibility import may_use
 from poppyhold.scheduling.pricing import machine_shares
 
 log = logging.getLogger(__name__)
--- a/src/poppyhold/model/constraints.py
+++ b/src/poppyhold/model/constraints.py
@@ -21,6 +21,15 @@
     ]
 
 
+def allows_machine(spec: Submission, machine_type: str, zone: str, spot: bool) -> bool:
+    """Return whether a job's constraints allow a machine of this type, in this zone, spot or not."""
+    return (
+        (spec.machine_types is None or machine_type in spec.machine_types)
+        and (spec.zone is None or zone == spec.zone)
+        and (spec.spot or not spot)
+    )
+
+
 def zone_limit(spec: Submission) -> int:
     """Return the maximum number of a job's tasks in one zone."""
     return (spec.tasks + 1) // 2 if spec.spread else spec.tasks
--- a/src/poppyhold/quota/free_capacity.py
+++ b/src/poppyhold/quota/free_capacity.py
@@ -8,7 +8,7 @@
 from poppyhold.model.context import Context
 from poppyhold.model.entities import Job
 from poppyhold.model.resources import max_copies
-from poppyhold.scheduling.placement import may_use
+from poppyhold.scheduling.eligibility import may_use
 from poppyhold.wire.user_messages import Submission
 
 
--- a/src/poppyhold/scheduling/gang_placement.py
+++ b/src/poppyhold/scheduling/gang_placement.py
@@ -19,7 +19,8 @@
     add_scaled,
     max_copies,
 )
-from poppyhold.scheduling.placement import Placement, PlacementChoice, image_wait_s, may_use
+from poppyhold.scheduling.eligibility import image_wait_s, may_use
+from poppyhold.scheduling.placement import Placement, PlacementChoice
 
 
 class GangOption(NamedTuple):
--- a/src/poppyhold/scheduling/gang_scheduler.py
+++ b/src/poppyhold/scheduling/gang_scheduler.py
@@ -7,9 +7,10 @@
 from poppyhold.model.entities import Job
 from poppyhold.model.resources import NO_RESOURCES, Resources, add_scaled
 from poppyhold.scheduling.cycle_state import CycleState, reserve
+from poppyhold.scheduling.eligibility import copies_that_fit, machines_in_best_zone, may_use
 from poppyhold.scheduling.gang_placement import GangPlacement
 from poppyhold.scheduling.job_order import JobOrder
-from poppyhold.scheduling.placement import PlacementChoice, copies_that_fit, machines_in_best_zone, may_use
+from poppyhold.scheduling.placement import PlacementChoice
 from poppyhold.scheduling.quotas import Quotas
 from poppyhold.scheduling.task_starter import TaskStarter
 
--- a/src/poppyhold/scheduling/placement.py
+++ b/src/poppyhold/scheduling/placement.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 import msgspec
 
-from poppyhold.model.constraints import zone_limit
 from poppyhold.model.entities import Attempt, Job, Machine
 from poppyhold.model.resources import (
     ACCELERATORS,
@@ -19,16 +18,14 @@
     Resources,
     add_scaled,
     fits,
-    max_copies,
 )
+from poppyhold.scheduling.eligibility import MIN_FETCH_GB_PER_S, image_wait_s, may_use
 from poppyhold.scheduling.free_capacity import FreeCapacityView, Ranking, RankingCache
 from poppyhold.scheduling.quotas import QuotaExcess
-from poppyhold.wire.worker_messages import BEFORE_IMAGE, STOPPABLE
+from poppyhold.wire.worker_messages import STOPPABLE
 
 # An image fetch may take up to a third longer than estimated.
 _MAX_FETCH_SLOWDOWN = 4 / 3
-# Lower bound of fetch rates, for machine types that give none.
-_MIN_FETCH_GB_PER_S = 1e-3
 
 # Factor on the image wait in a score if the wait meets the objective of the job's class.
 _IN_TIME_WAIT_WEIGHT = 0.3
@@ -66,60 +63,6 @@
     victims: list[Attempt] | None
 
 
-def may_use(job: Job, machine: Machine) -> bool:
-    """Return whether the job's machine type, zone and spot constraints allow the machine."""
-    spec = job.spec
-    return (
-        (spec.machine_types is None or machine.machine_type.name in spec.machine_types)
-        and (spec.zone is None or machine.zone == spec.zone)
-        and (spec.spot or not machine.spot)
-    )
-
-
-def zone_allows(job: Job, zone: str) -> bool:
-    """Return whether the job's zone constraints, given its active tasks, allow one more in the zone."""
-    if job.spec.one_zone and any(
-        count > 0 and occupied != zone for occupied, count in job.active_by_zone.items()
-    ):
-        return False
-    return job.active_by_zone.get(zone, 0) < zone_limit(job.spec)
-
-
-def copies_that_fit(job: Job, machine: Machine, reserved: dict[str, Resources]) -> int:
-    """Return how many of the job's pending tasks fit in a machine's free and unreserved resources."""
-    return max_copies(job.task_resources, machine.free_after_reservations(reserved), job.pending)
-
-
-def machines_in_best_zone(
-    job: Job, machines: Collection[Machine], reserved: dict[str, Resources]
-) -> list[Machine]:
-    """Return those of the machines that are in the zone where the most tasks of the job fit."""
-    counts: dict[str, int] = {}
-    for machine in machines:
-        if may_use(job, machine):
-            counts[machine.zone] = counts.get(machine.zone, 0) + copies_that_fit(job, machine, reserved)
-    best = max(counts, key=lambda zone: (counts[zone], zone), default=None)
-    return [machine for machine in machines if machine.zone == best]
-
-
-def image_wait_s(machine: Machine, job: Job) -> float:
-    """Return the estimated seconds until the machine has the image if a task of the job starts there now."""
-    image = job.spec.image
-    if image in machine.images:
-        return 0.0
-    rate_gb_per_s = max(machine.machine_type.fetch_gb_per_s, _MIN_FETCH_GB_PER_S)
-    # Sizes in GB of the images that the machine fetches, by name.
-    fetching: dict[str, float] = {}
-    for attempt in machine.attempts.values():
-        if attempt.status in BEFORE_IMAGE and attempt.job.spec.image not in machine.images:
-            fetching[attempt.job.spec.image] = attempt.job.spec.image_gb
-    has_begun = image in fetching
-    fetching[image] = job.spec.image_gb
-    # Concurrent fetches share the rate. If this image's fetch is in progress, half of the total is done on
-    # average.
-    return sum(fetching.values()) / rate_gb_per_s * (0.5 if has_begun else 1.0)
-
-
 class Placement:
     """Scores machines by image wait and packing, and chooses the victims of preemptions."""
 
@@ -170,7 +113,7 @@
             # Waits within the objective count less. Fast fetch rates are penalized to keep those machines for
             # large images: with small images on them, each large one takes twice its objective.
             fetch_gb_per_s = machine.machine_type.fetch_gb_per_s
-            fastest_gb_per_s = max(self._fastest_fetch_gb_per_s, _MIN_FETCH_GB_PER_S)
+            fastest_gb_per_s = max(self._fastest_fetch_gb_per_s, MIN_FETCH_GB_PER_S)
             score = (
                 score * _IN_TIME_WAIT_WEIGHT
                 + objective_s * _FAST_FETCH_WEIGHT * fetch_gb_per_s / fastest_gb_per_s
--- a/src/poppyhold/scheduling/planner.py
+++ b/src/poppyhold/scheduling/planner.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from poppyhold.model.constraints import zone_limit
+from poppyhold.model.constraints import allows_machine, zone_limit
 from poppyhold.model.entities import Job
 from poppyhold.model.resources import ACCELERATORS, CPUS, HEARTBEAT_BYTES, MEMORY_GB, Resources, max_copies
 from poppyhold.scheduling.ledger import EVERY_SLOT, Ledger, MachineBookings, MachineGroup
@@ -99,15 +99,11 @@
         Most machines of a large fleet are equivalent, and pricing each of 650 machines in each slot takes
         13 ms per plan.
         """
-        return [group for group in self._ledger.groups() if self._may_use(job, group.bookings)]
-
-    def _may_use(self, job: Job, machine: MachineBookings) -> bool:
-        spec = job.spec
-        return (
-            (spec.machine_types is None or machine.machine_type in spec.machine_types)
-            and (spec.zone is None or machine.zone == spec.zone)
-            and (spec.spot or not machine.spot)
-        )
+        return [
+            group
+            for group in self._ledger.groups()
+            if allows_machine(job.spec, group.bookings.machine_type, group.bookings.zone, group.bookings.spot)
+        ]
 
     def _candidate_zones(self, job: Job, groups: list[MachineGroup]) -> list[str | None]:
         """Return the zones to make a plan for each; None stands for one plan across all zones.
--- a/src/poppyhold/scheduling/relocation.py
+++ b/src/poppyhold/scheduling/relocation.py
@@ -20,7 +20,8 @@
 from poppyhold.model.entities import Attempt, Job, JobPhase, Machine
 from poppyhold.model.resources import EPSILON, Resources, add_scaled, fits
 from poppyhold.scheduling.cycle_state import reserve
-from poppyhold.scheduling.placement import PlacementChoice, image_wait_s, may_use, zone_allows
+from poppyhold.scheduling.eligibility import image_wait_s, may_use, zone_allows
+from poppyhold.scheduling.placement import PlacementChoice
 from poppyhold.wire.worker_messages import TaskState
 
 log = logging.getLogger(__name__)
--- a/src/poppyhold/scheduling/search.py
+++ b/src/poppyhold/scheduling/search.py
@@ -7,15 +7,9 @@
 
 from poppyhold.model.entities import Job, Machine
 from poppyhold.model.resources import Resources
+from poppyhold.scheduling.eligibility import image_wait_s, may_use, zone_allows
 from poppyhold.scheduling.free_capacity import FreeCapacityView, RankedMachine, Ranking
-from poppyhold.scheduling.placement import (
-    Placement,
-    PlacementChoice,
-    PreemptionOption,
-    image_wait_s,
-    may_use,
-    zone_allows,
-)
+from poppyhold.scheduling.placement import Placement, PlacementChoice, PreemptionOption
 
 
 class PlacementSearch:
--- a/src/poppyhold/scheduling/task_scheduler.py
+++ b/src/poppyhold/scheduling/task_scheduler.py
@@ -7,13 +7,8 @@
 from poppyhold.model.resources import Resources
 from poppyhold.scheduling.bookings import Bookings
 from poppyhold.scheduling.cycle_state import CycleState
-from poppyhold.scheduling.placement import (
-    Placement,
-    PlacementChoice,
-    image_wait_s,
-    machines_in_best_zone,
-    zone_allows,
-)
+from poppyhold.scheduling.eligibility import image_wait_s, machines_in_best_zone, zone_allows
+from poppyhold.scheduling.placement import Placement, PlacementChoice
 from poppyhold.scheduling.quotas import Quotas
 from poppyhold.scheduling.relocation import Relocation
 from poppyhold.scheduling.search import PlacementSearch
