Responses to relays wait for a connection that does not take them at once

Cause: the decision thread writes without waiting, and what the socket did not take at once closed the connection. The relay connects and sends the same heartbeats again, until their workers give up; leases end, with all tasks on these machines. Only the number of bytes that the socket's buffer holds was a limit, and nobody counted it. All 40 responses arrive, over one connection, and those after them in order. Test: test_responses_that_exceed_the_send_buffer_do_not_break_the_connection.

--- a/src/poppyhold/relay/server.py
+++ b/src/poppyhold/relay/server.py
@@ -20,9 +20,10 @@
     RelayOutcome,
     ResponseBatch,
 )
+from poppyhold.relay.response_writer import ResponseWriter
 from poppyhold.relay.timings import heartbeat_response_timeout_s
 from poppyhold.settings import WorkerTimings
-from poppyhold.wire.frames import receive_message, shut_down, try_send_message
+from poppyhold.wire.frames import receive_message, shut_down
 from poppyhold.wire.worker_messages import Heartbeat, HeartbeatResponse
 
 _decoder = msgspec.msgpack.Decoder(HeartbeatBatch)
@@ -65,15 +66,16 @@
         """Answer a relay's batches until its connection or the term ends."""
         if not self._register(connection, hello.member):
             return
-        relay = ConnectedRelay(hello.member, hello.zone)
+        relay, writer = ConnectedRelay(hello.member, hello.zone), ResponseWriter(connection)
         self._post(DECISIONS, lambda: self._on_connected(relay))
         try:
             # The relay sends keepalives: one that sends nothing for this long is disconnected.
             connection.settimeout(self._idle_timeout_s)
             while not self._closed:
-                self._enqueue(connection, relay, receive_message(connection, _decoder))
+                self._enqueue(writer, relay, receive_message(connection, _decoder))
         finally:
             relay.alive = False
+            writer.close()
             self._unregister(connection, hello.member)
 
     def update_machines(self, machines: Set[str]) -> None:
@@ -117,7 +119,7 @@
             del self._connections[member]
         self._post(DECISIONS, lambda: self._on_disconnected(member))
 
-    def _enqueue(self, connection: socket.socket, relay: ConnectedRelay, batch: HeartbeatBatch) -> None:
+    def _enqueue(self, writer: ResponseWriter, relay: ConnectedRelay, batch: HeartbeatBatch) -> None:
         received_at = time.monotonic()
 
         def work() -> None:
@@ -125,11 +127,11 @@
             if not relay.alive:
                 return
             messages = messages_for(self._handler.handle(relay, batch, received_at))
-            if not all(try_send_message(connection, message) for message in messages):
-                shut_down(connection)
+            if not all(writer.send(message) for message in messages):
+                writer.shut_down()
 
-        if not self._post(HEARTBEATS, work) and not try_send_message(connection, _rejected(batch)):
-            shut_down(connection)
+        if not self._post(HEARTBEATS, work) and not writer.send(_rejected(batch)):
+            writer.shut_down()
 
 
 def _rejected(batch: HeartbeatBatch) -> ResponseBatch:
--- a/src/poppyhold/wire/frames.py
+++ b/src/poppyhold/wire/frames.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import os
 import socket
 import struct
 from typing import TypeVar
@@ -42,16 +41,7 @@
         OSError: the connection was lost, or the send timed out.
 
     """
-    connection.sendall(_encode(message))
-
-
-def try_send_message(connection: socket.socket, message: msgspec.Struct) -> bool:
-    """Send one message without blocking; False if not all was written: the connection must be closed."""
-    data = _encode(message)
-    try:
-        return os.write(connection.fileno(), data) == len(data)
-    except OSError:
-        return False
+    connection.sendall(encode_message(message))
 
 
 def shut_down(connection: socket.socket) -> None:
@@ -78,7 +68,8 @@
         raise MalformedMessageError(str(error)) from error
 
 
-def _encode(message: msgspec.Struct) -> bytes:
+def encode_message(message: msgspec.Struct) -> bytes:
+    """Encode one message, with its length before it."""
     body = msgspec.msgpack.encode(message)
     return _LENGTH.pack(len(body)) + body
 
--- a/tests/test_relay_link.py
+++ b/tests/test_relay_link.py
@@ -16,7 +16,8 @@
 from poppyhold.relay.server import RelayServer
 from poppyhold.relay.timings import RelayTimings
 from poppyhold.settings import WorkerTimings
-from poppyhold.wire.worker_messages import Heartbeat, HeartbeatResponse
+from poppyhold.wire.message_limits import commands_that_fit
+from poppyhold.wire.worker_messages import Command, CommandKind, Heartbeat, HeartbeatResponse
 from relay_harness import (
     FENCING_TOKEN,
     assignment,
@@ -24,12 +25,17 @@
 )
 from test_smoke import eventually
 
+SMALL_BUFFER_BYTES = 16 * 1024
+WRITER_THREAD = "relay response writer"
+
 
 class RelayedConnection:
     """A relay's link and a leader's server, over loopback."""
 
     def __init__(self) -> None:
         self.listener = socket.create_server(("127.0.0.1", 0))
+        self.connections = 0
+        self.commands: list[Command] = []
         self.frozen = threading.Event()
         self.target: str | None = "hive-0"
         self.sequences: list[int] = []
@@ -62,7 +68,7 @@
 
     def _answer(self, taken: Heartbeat, deadline: float) -> HeartbeatResponse:
         self.sequences.append(taken.sequence)
-        return HeartbeatResponse(FENCING_TOKEN, [])
+        return HeartbeatResponse(FENCING_TOKEN, self.commands)
 
     def _accept(self) -> None:
         while True:
@@ -70,6 +76,7 @@
                 connection, _ = self.listener.accept()
             except OSError:
                 return
+            self.connections += 1
             threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
 
     def _serve(self, connection: socket.socket) -> None:
@@ -85,6 +92,11 @@
         """A worker's heartbeat arrives at the relay."""
         assert self.link.offer(heartbeat(sequence=sequence), self.responses.append)
 
+    def limit_send_buffer(self) -> None:
+        """Let the leader's later connections take little at once, as on a network with long delays."""
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+        self.restart()
+
     def restart(self) -> None:
         """The leader's term ends, and the next one begins in the same process."""
         self.server.close()
@@ -156,3 +168,28 @@
     relayed.target = None
     eventually(lambda: not relayed.link.is_open())
     assert relayed.responses == []
+
+
+def test_responses_that_exceed_the_send_buffer_do_not_break_the_connection(
+    relayed: RelayedConnection,
+) -> None:
+    # Guards against a connection that breaks whenever the tasks of many full machines are cancelled.
+    relayed.limit_send_buffer()
+    relayed.send(1)
+    eventually(lambda: len(relayed.responses) == 1)
+    connections = relayed.connections
+    stop = Command(CommandKind.STOP, "job-000002/12345", 1 << 40, 10.0)
+    relayed.commands = commands_that_fit([stop] * 1000)
+    for sequence in range(2, 42):
+        relayed.send(sequence)
+    eventually(lambda: len(relayed.responses) == 41)
+    answered = [response for response in relayed.responses[1:] if response is not None]
+    assert [response.commands for response in answered] == [relayed.commands] * 40
+    assert relayed.connections == connections
+    # The next response comes after all of them, and not from the middle of one.
+    relayed.commands = [stop]
+    relayed.send(42)
+    eventually(lambda: len(relayed.responses) == 42)
+    assert relayed.responses[-1] is not None
+    assert relayed.responses[-1].commands == [stop]
+    eventually(lambda: not [thread for thread in threading.enumerate() if thread.name == WRITER_THREAD])
