Whether a response may renew a lease is decided in a module of its own

Moved; behaviour is unchanged. The guard of start_held_back_in_state_outage names the class that now has the method.

--- a/src/poppyhold/execution/reconciliation.py
+++ b/src/poppyhold/execution/reconciliation.py
@@ -7,25 +7,21 @@
 
 from poppyhold.execution.attempt_lifecycle import AttemptLifecycle
 from poppyhold.execution.failures import FailureTracker
-from poppyhold.execution.heartbeat_commands import HeartbeatCommands
 from poppyhold.execution.heartbeat_limit import excess_attempts
-from poppyhold.execution.invariant_checks import has_stop, without_premature_forgets
 from poppyhold.execution.lease_expiry import LeaseExpiry
+from poppyhold.execution.lease_renewal import LeaseRenewal
 from poppyhold.execution.machine_records import request_machine_record
 from poppyhold.execution.start_fencing import StartFencing
 from poppyhold.execution.task_observation import TaskObserver
 from poppyhold.model.context import Context
-from poppyhold.model.entities import Attempt, Job, JobPhase, Machine, StartChannel
+from poppyhold.model.entities import Attempt, Job, Machine, StartChannel
 from poppyhold.model.outcome import RequestOutcome
 from poppyhold.model.resources import HEARTBEAT_BYTES
-from poppyhold.wire.message_limits import commands_that_fit, entry_bytes
-from poppyhold.wire.worker_messages import Command, Heartbeat, HeartbeatResponse, TaskState
+from poppyhold.wire.message_limits import entry_bytes
+from poppyhold.wire.worker_messages import Heartbeat, HeartbeatResponse, TaskState
 
 log = logging.getLogger(__name__)
 
-# Bound once: it is compared for every attempt of every heartbeat.
-_FINALIZED = JobPhase.FINALIZED
-
 # Where no more than this is free of what a machine's heartbeat can list, starts may wait for exits to be
 # forgotten. Elsewhere a scheduling cycle for that would find nothing new.
 _NEARLY_FULL_BYTES = 4096
@@ -52,7 +48,7 @@
         self._task_observer = TaskObserver(ctx, self.lifecycle, failures, on_task_completed, on_run_completed)
         # Called for every task of every heartbeat, hence bound once.
         self._observe_task = self._task_observer.observe_task
-        self._heartbeat_commands = HeartbeatCommands(ctx, self.fencing)
+        self._lease_renewal = LeaseRenewal(ctx, self.fencing, self.lifecycle.commands)
 
     def handle_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatResponse | None:
         """Return the response to a worker's heartbeat; None if it gets none.
@@ -89,70 +85,13 @@
             self.lifecycle.commands.request_heartbeat(machine, now)
         elif is_applied:
             self._apply_heartbeat(machine, heartbeat, now, is_unsolicited=True)
-        if not self._may_renew_lease(machine, now):
-            return None
-        return self._respond(machine, heartbeat, is_applied, now)
-
-    def _respond(
-        self, machine: Machine, heartbeat: Heartbeat, is_applied: bool, now: float
-    ) -> HeartbeatResponse | None:
-        """Return the response that renews the machine's lease; None if it can't hold all stops it needs."""
-        if is_applied:
-            due = self._heartbeat_commands.commands_for_new_heartbeat(machine, heartbeat, now)
-        else:
-            due = self._heartbeat_commands.stop_commands(machine, heartbeat, now)
-        commands = due.required + due.others
-        if commands:
-            commands = commands_that_fit(commands)
-            if len(commands) < len(due.required):
-                self._stop_directly(machine, due.required)
-                return None
-        machine.last_answered_at = now
-        fencing_token = self.fencing.fencing_token(machine)
-        return HeartbeatResponse(fencing_token, without_premature_forgets(machine, fencing_token, commands))
-
-    def _stop_directly(self, machine: Machine, stops: list[Command]) -> None:
-        """Stop tasks of a machine above the limit, whose stops are too many for one response.
-
-        A response without all of them would renew the lease of the others. Direct commands don't.
-        """
-        log.info("lease not renewed, too many tasks to stop: machine=%s stops=%d", machine.name, len(stops))
-        queued = set(machine.queued_commands)
-        self.lifecycle.commands.enqueue(machine, *(stop for stop in stops if stop not in queued))
+        return self._lease_renewal.respond(machine, heartbeat, is_applied, now)
 
     @staticmethod
     def _is_newer(heartbeat: Heartbeat, machine: Machine) -> bool:
         """Whether a heartbeat is newer than all applied before; duplicates and late ones are not."""
         return (heartbeat.incarnation, heartbeat.sequence) > (machine.incarnation, machine.sequence)
 
-    def _may_renew_lease(self, machine: Machine, now: float) -> bool:
-        """Whether a response may renew the machine's lease, given its attempts of finalized jobs."""
-        for attempt in machine.attempts.values():
-            if attempt.job.phase is _FINALIZED and (
-                self._lease_must_expire(attempt, now)
-                or not has_stop(attempt, self.fencing.fencing_token(machine))
-            ):
-                return False
-        return True
-
-    def _lease_must_expire(self, attempt: Attempt, now: float) -> bool:
-        """Whether only the end of the worker's lease can void a late start of a finalized job in time.
-
-        A stop is executed before such a start, and has no effect. A higher fencing token voids the start, but
-        none can be reserved without the state service.
-        """
-        if now <= attempt.job.renewals_allowed_until or not attempt.start_may_follow_response(
-            self.fencing.fencing_token(attempt.machine)
-        ):
-            return False
-        log.info(
-            "lease not renewed, finalized job may be started late: machine=%s task=%s attempt=%d",
-            attempt.machine.name,
-            attempt.name,
-            attempt.number,
-        )
-        return True
-
     def _seems_to_miss_responses(self, machine: Machine, now: float) -> bool:
         """Whether responses seem not to reach an unreconciled worker, so that its lease is left to expire.
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -16,6 +16,7 @@
 from poppyhold.execution.gangs import Gangs, GangState
 from poppyhold.execution.heartbeat_commands import HeartbeatCommands
 from poppyhold.execution.lease_expiry import LeaseExpiry
+from poppyhold.execution.lease_renewal import LeaseRenewal
 from poppyhold.execution.reconciliation import AttemptReconciler
 from poppyhold.execution.start_fencing import StartFencing
 from poppyhold.machines.boot_tracker import BootTracker
@@ -126,7 +127,7 @@
 GUARDS = [
     Guard("delayed_start_after_cancel", StartFencing, "reserve_fencing_tokens", _always),
     Guard("delayed_start_after_cancel", StartFencing, "fencing_token", _lowest_fencing_token),
-    Guard("start_held_back_in_state_outage", AttemptReconciler, "_lease_must_expire", _never),
+    Guard("start_held_back_in_state_outage", LeaseRenewal, "_lease_must_expire", _never),
     Guard("starts_wait_behind_silent_machines", StartGrant, "allows_sending", _always),
     Guard("held_back_start_of_idle_machine", AttemptReconciler, "_absence_proves_termination", _always),
     Guard("start_repeated_after_exit", StartFencing, "record_sent_starts", _never),
