The test of waiting responses gives their bytes the time that they take

Seen: one of two runs of all tests failed: 8 of the 40 responses of test_responses_that_exceed_the_send_buffer_... came after the 0.5 s that workers of this harness wait, and counted as none, as they should. Traced: the leader has handed all over after 0.04 s; two megabytes through a buffer of 16 KiB take 0.27 to 0.62 s on loopback (four plays), on an idle machine as well. The test is about bytes, not about that time: its workers wait for 20 s.

--- a/tests/test_relay_link.py
+++ b/tests/test_relay_link.py
@@ -32,7 +32,7 @@
 class RelayedConnection:
     """A relay's link and a leader's server, over loopback."""
 
-    def __init__(self) -> None:
+    def __init__(self, response_timeout_s: float = 0.5) -> None:
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.connections = 0
         self.commands: list[Command] = []
@@ -42,7 +42,7 @@
         self.responses: list[RelayedResponse | None] = []
         self.fleet = assignment(lambda: 0.0)
         self.server = self._server()
-        times = RelayTimings(0.4, 0.5, 2.0)
+        times = RelayTimings(0.4, response_timeout_s, 2.0)
         address = ("127.0.0.1", int(self.listener.getsockname()[1]))
         hello = RelayHello("hive-1", "a")
         self.link = RelayLink(
@@ -116,6 +116,14 @@
     both.close()
 
 
+@pytest.fixture
+def slow_relayed() -> Iterator[RelayedConnection]:
+    """Workers wait for as long as two megabytes take over a connection with a small buffer."""
+    both = RelayedConnection(response_timeout_s=20.0)
+    yield both
+    both.close()
+
+
 def test_heartbeats_are_answered_through_a_relay(relayed: RelayedConnection) -> None:
     eventually(relayed.link.is_open)
     for sequence in range(1, 6):
@@ -171,9 +179,10 @@
 
 
 def test_responses_that_exceed_the_send_buffer_do_not_break_the_connection(
-    relayed: RelayedConnection,
+    slow_relayed: RelayedConnection,
 ) -> None:
     # Guards against a connection that breaks whenever the tasks of many full machines are cancelled.
+    relayed = slow_relayed
     relayed.limit_send_buffer()
     relayed.send(1)
     eventually(lambda: len(relayed.responses) == 1)
